--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -31,8 +31,12 @@
 
 /// After SIGTERM new connections still come for a while; so long they are accepted.
 const STOP_ACCEPTING: Duration = Duration::from_millis(500);
-/// A client that has sent part of a head has this long for the rest.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// A connection that brings no whole head for so long is closed, also between requests: the platform lets go of
+/// idle ones from then on, and each silent peer holds one of few descriptors until it is.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// The rest of a request has this long after its head: a peer that never sends one whole is owed an error or a
+/// close within 3 s of connecting, whatever patience it claims.
+const BODY_TIMEOUT: Duration = Duration::from_millis(750);
 /// After a failed accept (out of descriptors, say) the next is tried this much later.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
@@ -199,7 +203,7 @@
         if body.size_hint().lower() > BODY_BYTES as u64 {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE);
         }
-        let patience = duration(form.time_left).min(Duration::from_secs(3600));
+        let patience = duration(form.time_left).min(BODY_TIMEOUT);
         let collected = tokio::time::timeout(patience, Limited::new(body, BODY_BYTES).collect());
         let body = match collected.await {
             Ok(Ok(body)) => body.to_bytes(),
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -5,7 +5,7 @@
 use sockets::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A proxy that knows these backends, by name, and its discovery.
 fn proxy_for(backends: &[(&str, &Backend)]) -> (Proxy, Discovery) {
@@ -318,6 +318,34 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// Peers that never send a whole request give their descriptors back long before they would by themselves.
+#[test]
+fn silent_and_stalling_peers_are_let_go_and_keep_nobody_out() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    let pay = request("pay", 3_600_000);
+    let began = Instant::now();
+    let starts = ["", "GET /read", &pay[..pay.len() - 2]];
+    let open = |start: &&str| {
+        let mut peer = Client::open(proxy.address);
+        peer.send(start);
+        peer
+    };
+    // More of them than there is room for.
+    let mut peers: Vec<Client> = starts.iter().cycle().take(60).map(open).collect();
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+    for peer in &mut peers {
+        let answer = peer.answer();
+        assert!(answer.as_ref().is_none_or(|a| a.status() == 408), "{answer:?}");
+    }
+    // In turns of three seconds; half a minute is what one turn took before.
+    assert!(began.elapsed() < Duration::from_secs(25), "{:?}", began.elapsed());
+    assert_eq!(backend.requests().len(), 1);
+}
+
 /// Out of descriptors the proxy lives on, and serves again once it has some.
 #[test]
 fn the_proxy_outlives_a_want_of_descriptors() {
