Give up attempts stuck past their aim on a living backend, and free their room

Evidence: in 5 s of strace on one proxy some 25 attempts were written whole to backends that answered other requests before and after, and never got a whole answer: nothing at all, or a head, or a head and part of the body. Each was closed only at its client's deadline, alert-set after 1.34 s for an aim of 0.2 s. All that time it counted in the backend's room and in the proxy's pool of about 25, so ten to fifteen of these were taken by attempts of which nothing could come any more.

Cause: src/logic.rs, look_after: a request that has an attempt out was left to `now + tick >= r.deadline`, whatever the aim, while one never sent is given up as soon as it cannot make its aim. The mark for silent backends does not help, for the backend is not silent, one of its connections is.

Mended: an attempt past its request's aim, where late earns nothing, that is twelve times older than usual on a backend that has answered something sent later, is called off and its request answered at once, failed or refused as the effect allows.

Ruled out: the proxy holding answers back (64 to 90 us from answer to client), a request cut short on the way to the backend (each was written whole in one call), old pooled connections (the connections had just served others).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,9 @@
 const ERROR_STEP: f64 = 0.2;
 /// An unanswered attempt this many times older than usual, with no later answer, marks silence.
 const SILENT_AFTER: f64 = 6.0;
+/// An attempt past its aim and this many times older than usual, on a backend that answered others since, is
+/// lost with its connection and holds room in vain: a slowed backend answers, if ten times slower.
+const STUCK_AFTER: f64 = 12.0;
 /// First term of an ejection, s; it doubles with each failed return, twice at most.
 const EJECT_TERM: f64 = 1.0;
 /// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill.
@@ -36,14 +39,14 @@
 /// The pool's allowance for chance, in spreads of a random count with the pool's mean.
 const POOL_SPREAD: f64 = 1.5;
 /// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
-const FALL_MARGIN: f64 = 0.8;
+pub(crate) const FALL_MARGIN: f64 = 0.8;
 /// Part of the longest ramp that a backend likely needs to warm: that one is the bound over all kinds.
 const LIKELY_RAMP: f64 = 0.7;
 /// Least budget of one proxy in a window: where its part is below one request the random draw by readiness
 /// keeps the sum of all proxies near a cold backend's capacity; less would throw its share at warm ones.
-const FALL_FLOOR: f64 = 3.0;
+pub(crate) const FALL_FLOOR: f64 = 3.0;
 /// Spreads of a random count that the whole traffic to a cold backend stays under the limit.
-const FALL_SPREADS: f64 = 3.0;
+pub(crate) const FALL_SPREADS: f64 = 3.0;
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
 const RETRY_RATIO: f64 = 0.2;
 /// Least worth of a client's repeat beside a first try: some still come in time.
@@ -303,10 +306,13 @@
                 |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.silent || p.ejected.is_some());
             let lost = matches!(&r.sent[..], [only] if lost(only));
             let held = if r.out() { r.deadline } else { now + self.cfg.tick.times(HELD_TICKS) };
-            self.due = self.due.min(held).min(Time(r.deadline.0.saturating_sub(self.cfg.tick.0)));
-            if now + self.cfg.tick >= r.deadline || (!r.out() && now + usual >= last_start) {
-                // The deadline's own tick would be too late to answer; a request that was held so long
-                // that it cannot make it is refused while that is still harmless.
+            let living = |s: &&Sent| self.peers.get(&s.to.id).is_some_and(|p| p.answered > s.at);
+            let stuck = r.sent.last().filter(living).map(|s| last_start.max(s.at + usual.times(STUCK_AFTER)));
+            let last = Time(r.deadline.0.saturating_sub(self.cfg.tick.0)); // its own tick would be too late
+            let end = stuck.map_or(last, |at| at.min(last));
+            self.due = self.due.min(held).min(end);
+            if now >= end || (!r.out() && now + usual >= last_start) {
+                // A request held so long that it cannot make it is refused while that is still harmless.
                 over.push(id);
             } else if lost && now + usual < r.aim && self.extra >= 1.0 {
                 // Age alone is no reason: copies of merely heavy requests crowd every backend.
@@ -424,21 +430,6 @@
         }
     }
 
-    /// The greatest part of the traffic that leaves chance no room to push the backend over: the limit is
-    /// some spreads of a random count above the mean.
-    fn fall_part(&self, now: Time, p: &Peer) -> f64 {
-        let root =
-            ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
-        let rate = self.rate.per_s().unwrap_or(0.0) * f64::from(self.cfg.proxies);
-        root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
-    }
-
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
-    fn budget(&self, now: Time, p: &Peer) -> f64 {
-        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
-    }
-
     fn may_send(&self, now: Time, r: &Request) -> bool {
         let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
             Effect::Free => true,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,10 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
 use crate::interface::*;
-use crate::logic::{BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
+use crate::logic::{
+    BRISK, FALL_FLOOR, FALL_MARGIN, FALL_SPREADS, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES,
+    SPEED_MEMORY, UNLOADED_RISE,
+};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
@@ -328,6 +331,21 @@
         self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs()
     }
 
+    /// The greatest part of the traffic that leaves chance no room to push the backend over: the limit is
+    /// some spreads of a random count above the mean.
+    pub(crate) fn fall_part(&self, now: Time, p: &Peer) -> f64 {
+        let root =
+            ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
+        let rate = self.rate.per_s().unwrap_or(0.0) * f64::from(self.cfg.proxies);
+        root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
+    }
+
+    /// Work that this proxy may still send to a cold backend inside the present fall window.
+    pub(crate) fn budget(&self, now: Time, p: &Peer) -> f64 {
+        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
+        (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
+    }
+
     /// Takes news of the list into the records; true if anything but weights changed.
     pub(crate) fn take_list(&mut self, update: ListUpdate, list: Vec<Backend>) -> bool {
         let mut changed = false;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -181,6 +181,33 @@
     assert_ne!(host.sent_to(id)[1], hung);
 }
 
+#[test]
+fn an_attempt_stuck_on_a_living_backend_gives_its_room_back() {
+    // case2352: answers that never came in full held their room up to the deadline, long after their aim.
+    let mut host = host(Config { proxies: 1, ..config(vec![class(Effect::Unsafe)]) }, fleet(2));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let stuck = host.burst(3, 0, 5_000_000);
+    serve(&mut host, 60, 0, |_| 10_000);
+    for id in stuck {
+        let open = &host.requests[&id];
+        assert_eq!(open.answer, Some("failed"), "a late answer earns nothing: given up at once");
+        assert_eq!(open.tries[0].outcome, Some(Outcome::Cancelled));
+    }
+    let room = host.burst(40, 0, 900_000).iter().filter(|id| !host.sent_to(**id).is_empty()).count();
+    assert!(room >= 8, "room for {room} on two backends that hold nothing else");
+}
+
+#[test]
+fn a_late_answer_of_a_slowed_backend_is_waited_for() {
+    let mut host = host(Config { proxies: 1, ..config(vec![class(Effect::Unsafe)]) }, fleet(2));
+    serve(&mut host, 60, 0, |_| 60_000);
+    let slow = host.arrive(0, 5_000_000);
+    serve(&mut host, 10, 0, |_| 60_000);
+    assert_eq!(host.requests[&slow].answer, None, "ten times slower than usual");
+    host.end(slow, 0, Outcome::Ok);
+    assert_eq!(host.requests[&slow].answer, Some("served"));
+}
+
 #[test]
 fn where_no_copy_is_allowed_the_lost_attempt_is_called_back_first() {
     let cfg = Config { second_copies: false, ..config(vec![class(Effect::Free)]) };
