Report an answer that cannot be read as an error, not as a broken connection

Symptom: from the first seconds on requests are refused, and more in every stretch (9% to 45%), while reads take two attempts and 1,500 connections are made for 11,000 attempts.

In 5 s of strace some 50 of 1,500 answers cannot be read: a status of `2x0` or `OK 200`, a header without a colon, two lengths that differ, a length of -1, a chunk of length `zz`, more headers than are read. The backends that send them serve the other requests on the same second.

Cause: src/bin/gaugesaddle/upstream.rs:255, where any failure after the request was written whole became Outcome::Reset. A reset is the mark of a dead process, and the module shuts its backend out for a second at the first one and sends copies of what it holds there. With 3% of all answers garbled most of the fleet was out at any time.

Mended: what cannot be parsed, is badly framed or over-long ends as Outcome::Error, as a status of 500 does: it may have run and counts in the backend's share of errors. What breaks or ends early stays a reset.

--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -4,7 +4,7 @@
 use crate::discovery::Target;
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -71,6 +71,39 @@
     }
 }
 
+/// Why an exchange brought no answer.
+enum Fault {
+    /// The connection broke or ended.
+    Broken,
+    /// Something came back that is no answer: the backend lives, whatever it meant to say.
+    Unreadable,
+}
+
+impl From<hyper::Error> for Fault {
+    fn from(e: hyper::Error) -> Fault {
+        match e.is_parse() {
+            true => Fault::Unreadable,
+            false => Fault::Broken,
+        }
+    }
+}
+
+impl Fault {
+    /// What a body's end short of its whole means: it is over-long or badly framed, or it was cut off.
+    fn of_body(e: &(dyn std::error::Error + 'static)) -> Fault {
+        let mut causes = std::iter::successors(Some(e), |e| e.source());
+        let malformed = causes.any(|e| {
+            let kind = e.downcast_ref::<io::Error>().map(io::Error::kind);
+            matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
+                || e.is::<LengthLimitError>()
+        });
+        match malformed {
+            true => Fault::Unreadable,
+            false => Fault::Broken,
+        }
+    }
+}
+
 /// What has been done with a connection since the present request was given to it.
 #[derive(Default)]
 struct Progress {
@@ -137,7 +170,7 @@
 impl Link {
     /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
     /// the exchange gets.
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, Fault> {
         self.progress.begun.set(false);
         self.progress.whole.set(false);
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
@@ -256,9 +289,10 @@
                     ended
                 }
                 // A pooled connection that closed before a byte was written: the attempt has not begun.
-                Err(()) if !fresh && !link.progress.begun.get() => continue,
-                Err(()) if !link.progress.whole.get() => Outcome::ConnectFailed.into(),
-                Err(()) => Outcome::Reset.into(),
+                Err(_) if !fresh && !link.progress.begun.get() => continue,
+                Err(_) if !link.progress.whole.get() => Outcome::ConnectFailed.into(),
+                Err(Fault::Broken) => Outcome::Reset.into(),
+                Err(Fault::Unreadable) => Outcome::Error.into(),
             };
         }
     }
@@ -279,12 +313,14 @@
 }
 
 /// Sends the request and reads the whole answer.
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
-    let answer = sender.send_request(request).await.map_err(|_| ())?;
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
+) -> Result<Ended, Fault> {
+    let answer = sender.send_request(request).await?;
     let (mut head, body) = answer.into_parts();
     let framed = is_framed(&head.headers);
     // Whole before a byte of it goes on: a broken answer must not reach the client as a good one.
-    let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|_| ())?.to_bytes();
+    let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|e| Fault::of_body(&*e))?.to_bytes();
     let unseen = || head.headers.get(&UNPROCESSED).is_some_and(|v| v.as_bytes() == b"1");
     Ok(match head.status {
         // Where only the end of the connection ends the body, a short answer looks like a whole one.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -110,6 +110,37 @@
     }
 }
 
+/// A backend that garbles an answer lives and serves the others: it is not shut out as one that broke off is.
+#[test]
+fn an_unreadable_answer_does_not_shut_its_backend_out() {
+    let garbled = [
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx".to_string(),
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 900\r\n\r\nabc".into(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n".into(),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000)),
+    ];
+    for text in garbled {
+        let (garbling, told) = (std::sync::atomic::AtomicBool::new(true), text.clone());
+        let a = Backend::start(move |m| {
+            let first = m.start.contains("pay") && garbling.swap(false, std::sync::atomic::Ordering::SeqCst);
+            if first {
+                Reply::Say(told.clone())
+            } else {
+                ok("a")
+            }
+        });
+        let b = Backend::start(|_| ok("b"));
+        let (proxy, _discovery) = proxy_for(&[("a", &a), ("b", &b)]);
+        warm_up(&proxy);
+        until("a garbled answer", || ask(&proxy, &request("pay", 7000)).status() == 502);
+        let before = a.requests().len();
+        (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+        assert!(a.requests().len() > before, "shut out after {text:.60}");
+        assert!(!proxy.log().contains("ejected"), "{}", proxy.log());
+    }
+}
+
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
     let backend = Backend::start(|_| ok("served"));
