Keep running on SIGHUP and move the watch to the discovery it names

Symptom and evidence: no handler for SIGHUP was installed, so the signal's default ended the process; the new test sees the proxy gone after `kill -HUP`.

Cause: src/bin/gaugesaddle/main.rs listened for SIGTERM and SIGINT only, and discovery.rs held one address for good.

Mended: SIGHUP reads the configuration again. The watch drops its call at once and asks the new address for the whole list, for versions of the old one may mean nothing there; the list held stays in force meanwhile. A file that cannot be used is logged and changes nothing; a changed listen address is logged and waits for a restart.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::JoinHandle;
 
 /// A line of the list.
@@ -112,7 +112,8 @@
 
 /// Where discovery is and how it is used.
 pub struct Watch {
-    pub address: SocketAddr,
+    /// It may move while the proxy runs.
+    pub address: watch::Receiver<SocketAddr>,
     pub mode: Discovery,
     /// The version last had.
     pub index: Option<u64>,
@@ -131,9 +132,19 @@
             if !watching {
                 self.follow.notified().await;
             }
+            let address = *self.address.borrow_and_update();
             // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, wait));
-            match call.await.unwrap_or_else(|_| Err("no answer in time".into())) {
+            let call = tokio::time::timeout(wait + GRACE, call(address, self.index, &mut line, wait));
+            let answer = tokio::select! {
+                biased;
+                Ok(()) = self.address.changed() => {
+                    // The list goes on at the new address, from the whole of it: the old one may have told less.
+                    (line, self.index, watching) = (None, None, true);
+                    continue;
+                }
+                answer = call => answer,
+            };
+            match answer.unwrap_or_else(|_| Err("no answer in time".into())) {
                 Ok(list) => {
                     (watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
@@ -158,18 +169,21 @@
             }
         }
     }
+}
 
-    async fn call(&mut self, line: &mut Option<Line>, wait: Duration) -> Result<List, String> {
-        if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
-            *line = Some(dial(self.address).await?);
-        }
-        let path = match self.index {
-            Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
-            None => "/api/targets".into(),
-        };
-        match line {
-            Some(line) => ask(line, self.address, &path).await,
-            None => Err("no connection".into()),
-        }
+/// One call, for the whole list or for what is newer than a version, on the connection held if it still stands.
+async fn call(
+    address: SocketAddr, index: Option<u64>, line: &mut Option<Line>, wait: Duration,
+) -> Result<List, String> {
+    if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
+        *line = Some(dial(address).await?);
+    }
+    let path = match index {
+        Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
+        None => "/api/targets".into(),
+    };
+    match line {
+        Some(line) => ask(line, address, &path).await,
+        None => Err("no connection".into()),
     }
 }
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -9,11 +9,12 @@
 mod upstream;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, Notify};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch, Notify};
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
@@ -40,6 +41,7 @@
 async fn serve(config: config::Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
@@ -65,8 +67,9 @@
         links: RefCell::default(),
         freed: Notify::new(),
     });
+    let (moved, address) = watch::channel(config.discovery);
     let watch = discovery::Watch {
-        address: config.discovery,
+        address,
         mode: config.module.discovery,
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
@@ -87,6 +90,7 @@
         serving.serving.set(false);
     });
     tokio::task::spawn_local(watch.run());
+    tokio::task::spawn_local(reloads(reload, config.listen, moved));
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -96,3 +100,20 @@
     server.run(listener, stop).await;
     Ok(())
 }
+
+/// On SIGHUP the configuration is read again and discovery may move; all else holds until a restart. A file that
+/// cannot be used changes nothing.
+async fn reloads(mut hangup: Signal, listen: SocketAddr, moved: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::load() {
+            Ok(new) => {
+                if new.listen != listen {
+                    tracing::warn!("SIGHUP: listen stays {listen} until a restart");
+                }
+                tracing::info!("SIGHUP: discovery is {}", new.discovery);
+                moved.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
+            }
+            Err(text) => tracing::error!("SIGHUP: the configuration held stays: {text}"),
+        }
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -330,6 +330,37 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// SIGHUP moves the watch to another discovery, which need not know the versions of the first; a file that
+/// cannot be used is logged and changes nothing. Both where lists are pushed and where they are asked for.
+#[test]
+fn sighup_moves_discovery_and_a_bad_file_changes_nothing() {
+    for mode in ["automatic", "subscribe"] {
+        let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+        let (old, new) = (Discovery::start(), Discovery::start());
+        let mut config = config(old.address, &[line("a", a.address, "ready", 0)]);
+        config["settings"]["discovery"] = json!(mode);
+        let proxy = Proxy::start(&config);
+        until("the watch", || old.calls() == 1);
+        for bad in ["no json".to_string(), json!({"discovery": "nowhere"}).to_string()] {
+            let before = proxy.log().matches("SIGHUP").count();
+            proxy.reload(&bad);
+            until("a line about the bad file", || proxy.log().matches("SIGHUP").count() > before);
+            assert_eq!(ask(&proxy, &request("read", 7000)).body, b"a", "{mode}");
+        }
+        config["discovery"] = json!(new.address.to_string());
+        proxy.reload(&config.to_string());
+        until("a call at the new address", || new.calls() == 1);
+        assert_eq!(
+            ask(&proxy, &request("read", 7000)).body,
+            b"a",
+            "the old list holds until there is a new one"
+        );
+        new.tell(true, &[line("b", b.address, "ready", 0)]);
+        until("the new list", || ask(&proxy, &request("read", 7000)).body == b"b");
+        assert_eq!(old.calls(), 1, "{mode}: the old address is left alone");
+    }
+}
+
 #[test]
 fn with_its_sockets_taken_a_new_client_still_gets_in() {
     let backend = Backend::start(|_| ok("x"));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -3,6 +3,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -299,8 +300,24 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    fn file(&self) -> PathBuf {
+        std::env::temp_dir().join(format!("gaugesaddle-{}.json", self.address))
+    }
+
+    /// Replaces the configuration file, whole at once, and tells the proxy.
+    pub fn reload(&self, text: &str) {
+        let next = self.file().with_extension("next");
+        std::fs::write(&next, text).unwrap();
+        std::fs::rename(&next, self.file()).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn exit(&mut self) -> ExitStatus {
@@ -317,7 +334,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(std::env::temp_dir().join(format!("gaugesaddle-{}.json", self.address)));
+        let _ = std::fs::remove_file(self.file());
     }
 }
 
