Count a broken connection in its backend's error share instead of ejecting at once

The two proxies' logs hold 529 ejections for a Reset, as many as the log's rate allows, against 14 for time-outs. Each takes a backend that serves all its other connections out for about a second, sends copies of what it holds and counts as a strike.

Cause: src/logic.rs:275, the last arm of learn: every outcome that is not served, cancelled or an error ejects its backend at the first one. For a reset that mistakes one broken connection for a dead process.

Mended: a reset adds to the backend's share of errors as a 500 does, so that two close together eject it. A process that dies breaks all its connections at once and refuses the next, which still ejects at the first. A reset is no sign of life, so it does not set when the backend last answered.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -265,8 +265,9 @@
             Outcome::Cancelled | Outcome::NeverSent => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.answered >= sent => {}
-            Outcome::Error => {
-                p.answered = now;
+            // One connection that breaks is no dead process: that breaks them all, and refuses the next.
+            Outcome::Error | Outcome::Reset => {
+                p.answered = if end.outcome == Outcome::Error { now } else { p.answered };
                 p.errors += (1.0 - p.errors) * ERROR_STEP;
                 if p.errors > ERROR_LIMIT {
                     self.eject(now, id, end.outcome);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -275,6 +275,28 @@
     assert!(serve(&mut host, 60, 0, |_| 5_000).contains(&bad), "it never came back");
 }
 
+#[test]
+fn one_broken_connection_shuts_no_backend_out_but_a_dead_process_is() {
+    // A day of steady single resets kept a sixth of a fleet of ten out that served all others well.
+    let mut host = host(config(vec![class(Effect::Unsafe)]), fleet(4));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let id = host.arrive(0, 900_000);
+    let met = host.sent_to(id)[0];
+    host.end(id, 0, Outcome::Reset);
+    // Well within the shortest term of an ejection.
+    assert!(serve(&mut host, 120, 0, |_| 5_000).contains(&met), "shut out for one connection");
+    let dead = loop {
+        let out: Vec<RequestId> = host.burst(2, 0, 900_000);
+        let to: Vec<u32> = out.iter().map(|id| host.sent_to(*id)[0]).collect();
+        let outcome = if to[0] == to[1] { Outcome::Reset } else { Outcome::Ok };
+        out.iter().for_each(|id| host.end(*id, 0, outcome));
+        if outcome == Outcome::Reset {
+            break to[0];
+        }
+    };
+    assert!(!serve(&mut host, 40, 0, |_| 5_000).contains(&dead), "all its connections broke at once");
+}
+
 #[test]
 fn when_most_backends_err_they_are_used_after_all() {
     let mut host = host(config(vec![class(Effect::Free)]), fleet(4));
