Let the SIGHUP test hold on a loaded machine

Where lists are pushed the watch gives up a call after 5.5 s and asks again, so the old discovery may have been called more than once before it is left: the test counts from there. Twice green with eight busy loops beside it on four cores.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -340,7 +340,7 @@
         let mut config = config(old.address, &[line("a", a.address, "ready", 0)]);
         config["settings"]["discovery"] = json!(mode);
         let proxy = Proxy::start(&config);
-        until("the watch", || old.calls() == 1);
+        until("the watch", || old.calls() > 0);
         for bad in ["no json".to_string(), json!({"discovery": "nowhere"}).to_string()] {
             let before = proxy.log().matches("SIGHUP").count();
             proxy.reload(&bad);
@@ -349,7 +349,8 @@
         }
         config["discovery"] = json!(new.address.to_string());
         proxy.reload(&config.to_string());
-        until("a call at the new address", || new.calls() == 1);
+        until("a call at the new address", || new.calls() > 0);
+        let before = old.calls();
         assert_eq!(
             ask(&proxy, &request("read", 7000)).body,
             b"a",
@@ -357,7 +358,7 @@
         );
         new.tell(true, &[line("b", b.address, "ready", 0)]);
         until("the new list", || ask(&proxy, &request("read", 7000)).body == b"b");
-        assert_eq!(old.calls(), 1, "{mode}: the old address is left alone");
+        assert_eq!(old.calls(), before, "{mode}: the old address is left alone");
     }
 }
 
