Give each proxy of a large fleet a balanced window on every kind

Cause: src/logic.rs, allot, gives every proxy a pull to every ready backend. A hundred proxies then want an idle connection each to each of 60 backends, where a table takes some 22; at a quarter of a request a second between one proxy and one backend, closing idle ones sooner would only make every request pay a handshake.

Mended: src/aperture.rs lays a kind's backends on a ring, each as long as it is warm, and a proxy draws inside a window of it. Windows start at multiples of the golden ratio, so that what is left of a fleet still covers all backends alike; only the list decides the arcs, so that the windows fit together. The preference for near backends moved there unchanged and rests where windows are used: a window holds too few of one zone, and it would pile an uneven zone's load on its own backends.

--- /dev/null
+++ b/src/aperture.rs
@@ -0,0 +1,80 @@
+//! Which backends a proxy sends to: in a small fleet all, the near ones first; in a large one those in a window
+//! on each kind. Driven by `src/logic.rs`, through `src/interface.rs` like all decisions.
+
+use crate::interface::*;
+use crate::logic::{HOLD, LIKELY_RAMP};
+use crate::state::*;
+use std::collections::BTreeMap;
+
+/// Proxies that use one backend. Each keeps a connection there, and a backend keeps only so many; how many is
+/// told nowhere. Three times the hold: what it may have in hand finds a connection that stands.
+const REACH: f64 = 3.0 * HOLD;
+/// Backends of a kind in a window at least: one may be ill and another busy.
+const LEAST: f64 = 3.0;
+/// Its multiples lie evenly on a ring, whichever run of the proxies is alive.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+
+/// The part of the arc between two points of the ring, of length 1, that lies in the window.
+fn overlap(arc: (f64, f64), start: f64, width: f64) -> f64 {
+    let shared = |start: f64| (arc.1.min(start + width) - arc.0.max(start)).max(0.0);
+    ((shared(start) + shared(start - 1.0)) / (arc.1 - arc.0).max(1e-12)).min(1.0)
+}
+
+impl Balancer {
+    /// Lays every kind's backends on a ring, each on an arc as long as it is warm, and finds what this proxy's
+    /// window covers. Only what all proxies are told alike counts here, so that their windows fit together.
+    pub(crate) fn place_window(&mut self, now: Time) {
+        let (cfg, proxies) = (&self.cfg, f64::from(self.cfg.proxies));
+        let arc = |p: &Peer| match p.entry.state {
+            BackendState::Ready => warmth(cfg, now, &p.entry, LIKELY_RAMP),
+            _ => 0.0,
+        };
+        let mut rings: BTreeMap<KindId, (f64, f64)> = BTreeMap::new();
+        for p in self.peers.values() {
+            let (count, length) = rings.entry(p.entry.kind).or_default();
+            (*count, *length) = (*count + f64::from(arc(p) > 0.0), *length + arc(p));
+        }
+        let start = (f64::from(cfg.position) * GOLDEN).fract();
+        for (kind, (count, length)) in rings {
+            let width = (REACH / proxies).max(LEAST / count.max(1.0)).min(1.0);
+            let (mut at, mut covered, mut ready) = (0.0, 0.0, 0.0);
+            for p in self.peers.values_mut().filter(|p| p.entry.kind == kind) {
+                let end = at + arc(p) / length.max(1e-12);
+                p.slice = if width < 1.0 { overlap((at, end), start, width) } else { 1.0 };
+                (at, covered, ready) = (end, covered + p.ready * p.slice, ready + p.ready);
+            }
+            let k = self.kinds.entry(kind).or_default();
+            (k.width, k.gain) = (width, ready / covered.max(1e-12));
+            if covered <= 0.0 {
+                // All in the window are out of use: better any other of the kind than none.
+                (k.width, k.gain) = (1.0, 1.0);
+                self.peers.values_mut().filter(|p| p.entry.kind == kind).for_each(|p| p.slice = 1.0);
+            }
+        }
+    }
+
+    /// The part of this proxy's traffic that goes to a backend where all proxies give every backend its due.
+    pub(crate) fn due(&self, p: &Peer) -> f64 {
+        self.kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
+    }
+
+    /// How much more of its due a zone gets from this proxy. Where crossing zones costs traffic stays near so
+    /// far as all proxies together still give every backend the same part: a zone whose backends are due less
+    /// than its proxies bring sends its surplus to the zones due more. A window has too few of its zone.
+    pub(crate) fn biases(&self) -> BTreeMap<ZoneId, f64> {
+        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        let ready = self.peers.values().filter(|p| p.ready > 0.0);
+        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += self.due(p));
+        let zones = due.len() as f64;
+        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
+        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
+        let windowed = self.kinds.values().any(|k| k.width < 1.0);
+        let bias = |(zone, here): (ZoneId, f64)| {
+            let here = here.max(1e-9);
+            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
+            let near = if zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
+            (zone, if self.cfg.cross_zone_cost > 0.0 && !windowed { near / here } else { 1.0 })
+        };
+        due.into_iter().map(bias).collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod aperture;
 mod interface;
 mod logic;
 pub mod settings;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,6 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
 
 /// Memory of a kind's speed, s: a machine's speed changes seldom, the rate it is computed from all the time.
 pub(crate) const SPEED_MEMORY: f64 = 10.0;
@@ -41,7 +40,7 @@
 /// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
 pub(crate) const FALL_MARGIN: f64 = 0.8;
 /// Part of the longest ramp that a backend likely needs to warm: that one is the bound over all kinds.
-const LIKELY_RAMP: f64 = 0.7;
+pub(crate) const LIKELY_RAMP: f64 = 0.7;
 /// Least budget of one proxy in a window: where its part is below one request the random draw by readiness
 /// keeps the sum of all proxies near a cold backend's capacity; less would throw its share at warm ones.
 pub(crate) const FALL_FLOOR: f64 = 3.0;
@@ -389,41 +388,30 @@
         self.allot(now);
     }
 
-    /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
-    /// traffic stays near so far as all proxies together still give every backend the same part: a zone
-    /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
+    /// Each backend's part of this proxy's traffic: its kind's share by readiness where the window covers it.
     fn allot(&mut self, now: Time) {
+        self.place_window(now);
         let epoch = now.0 / Micros::from_secs(TURN).0;
         let proxies = f64::from(self.cfg.proxies);
-        let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
-            kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
-        };
-        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        let ready = self.peers.values().filter(|p| p.ready > 0.0);
-        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
-        let zones = due.len() as f64;
-        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
-        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
         let work = self.hint.get();
         let mine = self.peers.values().map(|p| p.hold(work)).sum::<f64>() / proxies;
         self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
         self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
-        let cold: Vec<f64> = self.peers.values().map(|p| self.fall_part(now, p)).collect();
-        for ((&id, p), most) in self.peers.iter_mut().zip(cold) {
-            let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
-            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
-            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+        let biases = self.biases();
+        let bounds: Vec<_> = self.peers.values().map(|p| (self.due(p), self.fall_part(now, p))).collect();
+        for ((&id, p), (due, most)) in self.peers.iter_mut().zip(bounds) {
+            let bias = biases.get(&p.entry.zone).copied().unwrap_or(1.0);
+            let k = self.kinds.entry(p.entry.kind).or_default();
             // Half of the room for all goes by that part, half evenly. With many proxies it is below one:
             // turns, by position and the backend's mark, keep the sum at the hold; one each would crowd all.
             let turn = id.0.wrapping_add(u64::from(self.cfg.position)).wrapping_add(epoch);
             let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = p.hold(work) / proxies;
+            let fair = p.hold(work) / (proxies * k.width);
             p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
-            p.pull = (part(&self.kinds, p) * bias + p.ready * 1e-6).min(most);
+            let part = due * bias * p.slice * k.gain + p.ready * 1e-6;
+            p.pull = part.min(most * p.slice.max(1e-6) / k.width);
             if p.ready > 0.0 {
-                let k = self.kinds.entry(p.entry.kind).or_default();
                 k.pull += p.pull;
                 k.line.push((id, k.pull));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,6 +112,10 @@
     pub unloaded: Option<f64>,
     /// Highest weight that the list gave one of its backends: that of an idle one.
     pub idle_weight: f64,
+    /// Part of its ring that this proxy's window covers.
+    pub width: f64,
+    /// How much more than its due a covered backend gets from this proxy.
+    pub gain: f64,
     /// Part of this proxy's traffic.
     pub pull: f64,
     /// Its usable backends, each with its pull and those before it added up.
@@ -135,6 +139,8 @@
     pub entry: Backend,
     /// From 0 (send nothing) to 1 (healthy and warm).
     pub ready: f64,
+    /// Part of it that this proxy's window covers.
+    pub slice: f64,
     /// Its part of this proxy's traffic.
     pub pull: f64,
     /// How many attempts of this proxy it may hold.
