--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -1,5 +1,5 @@
-//! Which backends a proxy sends to: in a small fleet all, the near ones first; in a large one those in a window
-//! on each kind. Driven by `src/logic.rs`, through `src/interface.rs` like all decisions.
+//! Which backends a proxy sends to: in a small fleet all, the near ones first; in a large one those in a
+//! window on each kind. Driven by `src/logic.rs`, through `src/interface.rs` like all decisions.
 
 use crate::interface::*;
 use crate::logic::{HOLD, LIKELY_RAMP};
@@ -21,8 +21,8 @@
 }
 
 impl Balancer {
-    /// Lays every kind's backends on a ring, each on an arc as long as it is warm, and finds what this proxy's
-    /// window covers. Only what all proxies are told alike counts here, so that their windows fit together.
+    /// Lays every kind's backends on a ring, each on an arc as long as it is warm, and finds what this
+    /// proxy's window covers. Only what all proxies are told alike counts: so their windows fit together.
     pub(crate) fn place_window(&mut self, now: Time) {
         let (cfg, proxies) = (&self.cfg, f64::from(self.cfg.proxies));
         let arc = |p: &Peer| match p.entry.state {
