--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -218,7 +218,7 @@
         "granularity_us": 4000,
         "group_size": 1,
         "position": 0,
-        "limits": {"cancel": true, "conn_idle_us": 30_000_000, "dial_timeout_us": 2_000_000, "max_attempts": 4,
+        "limits": {"cancel": true, "conn_idle_us": 60_000_000, "dial_timeout_us": 2_000_000, "max_attempts": 4,
                    "open_cap": 20_000, "parallel_tries": true},
         "my_zone": "east",
         "over_share_worth": 0.1,
