Let an ejection for errors be made good by ten good answers, not by one

Half of the requests may not be sent again then.

Cause: src/logic.rs, learn, clears the strikes at the first good answer, so such a backend is never out for longer than the first term of a second, and each of the dozen proxies that use it pays some two errors to learn it again.

Mended: after an ejection for errors ten good answers are owed before its strikes are cleared; after all other ejections one, as before. The term doubles three times at most instead of twice.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,8 @@
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
 pub(crate) const HOLD: f64 = 4.0;
+/// Good answers owed after an ejection for errors: as a rule two errors come sooner where a fourth are.
+const AMENDS: u32 = 10;
 /// Error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
 /// Weight of the newest outcome in a backend's error share.
@@ -31,8 +33,10 @@
 /// An attempt past its aim and this many times older than usual, on a backend that answered others since, is
 /// lost with its connection and holds room in vain: a slowed backend answers, if ten times slower.
 const STUCK_AFTER: f64 = 12.0;
-/// First term of an ejection, s; it doubles with each failed return, twice at most.
+/// First term of an ejection, s; it doubles with each strike that still stands.
 const EJECT_TERM: f64 = 1.0;
+/// Strikes that count at most: a backend that is well again is back within some seconds.
+const STRIKES: i32 = 3;
 /// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill.
 const PANIC: f64 = 0.5;
 /// The pool's allowance for chance, in spreads of a random count with the pool's mean.
@@ -259,7 +263,8 @@
         match end.outcome {
             Outcome::Ok => {
                 p.served(now, end.latency);
-                (p.errors, p.strikes) = (p.errors * (1.0 - ERROR_STEP), 0);
+                p.errors *= 1.0 - ERROR_STEP;
+                p.forgive();
                 let kind = p.entry.kind;
                 self.served(kind, class, end.latency);
             }
@@ -282,8 +287,9 @@
         let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
         let Some(p) = self.peers.get_mut(&id) else { return };
         if p.ejected.is_none_or(|until| now >= until) {
-            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
+            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(STRIKES)).exp2()));
             (p.strikes, p.ready) = (p.strikes + 1, 0.0);
+            p.owes = if why == Outcome::Error { AMENDS } else { 1 };
             self.wake_by(now + self.cfg.tick);
             self.log(now, format!("backend {} ejected: {why:?}", id.0));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,8 +162,9 @@
     pub silent: bool,
     /// Out of use, until this time at least.
     pub ejected: Option<Time>,
-    /// Ejections without a good answer between them.
+    /// Ejections not yet made good, and how many good answers still owed for that.
     pub strikes: i32,
+    pub owes: u32,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
 }
@@ -175,6 +176,14 @@
         self.least = Some(self.least.map_or(latency.secs(), |least| latency.secs().min(least * LEAST_RISE)));
     }
 
+    /// Takes in a good answer: one of a backend that errs at every third says little.
+    pub fn forgive(&mut self) {
+        self.owes = self.owes.saturating_sub(1);
+        if self.owes == 0 {
+            self.strikes = 0;
+        }
+    }
+
     /// Requests of all proxies that may be out to it. Half of the hold may wait or be worked on there; as many as
     /// it works off meanwhile may be on their way beside them: those keep it busy but do not crowd it.
     pub fn hold(&self, work: Option<f64>) -> f64 {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -275,6 +275,25 @@
     assert!(serve(&mut host, 60, 0, |_| 5_000).contains(&bad), "it never came back");
 }
 
+#[test]
+fn a_backend_that_mostly_errs_is_tried_less_and_less() {
+    // Fleet days: one good answer cleared a bad backend's record, and each of its dozen proxies took it back
+    // after a second, all day long, at the price of two requests that may not be sent again.
+    let mut host = host(config(vec![class(Effect::Unsafe)]), fleet(6));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let (mut sent, mut errors) = (0, 0);
+    for _ in 0..3_000 {
+        let id = host.arrive(0, 900_000);
+        let bad = host.sent_to(id).first() == Some(&3);
+        sent += u32::from(bad);
+        let errs = bad && sent % 3 > 0;
+        errors += u32::from(errs);
+        host.advance(10_000);
+        host.end(id, 0, if errs { Outcome::Error } else { Outcome::Ok });
+    }
+    assert!((10..=26).contains(&errors), "{errors} errors in half a minute");
+}
+
 #[test]
 fn one_broken_connection_shuts_no_backend_out_but_a_dead_process_is() {
     // A day of steady single resets kept a sixth of a fleet of ten out that served all others well.
