--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeMap;
 
 /// Proxies that use one backend. Each keeps a connection there, and a backend keeps only so many; how many is
-/// told nowhere. Three times the hold: what it may have in hand finds a connection that stands.
-const REACH: f64 = 3.0 * HOLD;
+/// told nowhere. Twice the hold: what it may have in hand finds a connection that stands, and windows that
+/// have moved on leave some behind for a while.
+const REACH: f64 = 2.0 * HOLD;
 /// Backends of a kind in a window at least: one may be ill and another busy.
 const LEAST: f64 = 3.0;
 /// Its multiples lie evenly on a ring, whichever run of the proxies is alive.
