Spread the calls for a lost list over a span that grows with the fleet, with full jitter

One proxy's log shows a call that waits 2 s in the queue and fails, the next after 0.15 s, and so on, with all others.

Cause: src/logic.rs, members, asked again after 0.05 to 0.15 s and never later than 1.9 s, however many do the same: some 80 calls a second of a service that takes a few.

Three proxies still ask within 0.15 s at first.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,6 +64,8 @@
 pub(crate) const UNLOADED_PART: f64 = 0.5;
 /// Rise of a kind's unloaded latency, a second, towards what answers take.
 pub(crate) const UNLOADED_RISE: f64 = 0.03;
+/// Time that each proxy of the fleet adds to the span over which they spread their calls after a loss, s.
+const ASK_SPREAD: f64 = 0.05;
 /// Least part of the traffic that is let in, so that recovery is seen.
 const ADMIT_LEAST: f64 = 0.05;
 /// Change of the admitted part for each answer; one that is not brisk counts twice, so that it settles where
@@ -143,10 +145,12 @@
 
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match (update, self.cfg.discovery) {
-            // A lost subscription is asked for again, later each time and not in step with others.
+            // A lost subscription is asked for again, later each time and not in step with others: all lose
+            // theirs at once, and the one service takes their calls one after another.
             (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).max(0.1));
-                let at = now + Micros::from_secs(wait * (0.5 + self.dice.unit()));
+                let first = (ASK_SPREAD * f64::from(self.cfg.proxies)).min(within.secs() / 2.0);
+                let wait = (self.ask.1 * 2.0).min(within.secs() / 8.0).max(first);
+                let at = now + Micros::from_secs(wait * self.dice.unit());
                 self.ask = (Some(at), wait);
                 self.wake_by(at);
                 self.log(now, "discovery lost, asking again".into());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -57,6 +57,35 @@
     assert!(left.values().all(|(proxies, _)| *proxies <= 8), "{left:?}");
 }
 
+/// How many of so many proxies ask again in each tenth of a second after all lost their subscriptions.
+fn asked_again(proxies: u32) -> Vec<u32> {
+    let mut calls = vec![0; 60];
+    for position in 0..proxies {
+        let discovery = Discovery::Subscribe(Micros(10_000_000));
+        let cfg = Config { proxies, position, discovery, ..Config::example() };
+        let mut host = Host::new(cfg, u64::from(position) + 1);
+        host.members(ListUpdate::Cached, vec![backend(1, 0, 0)]);
+        host.event(Event::Members { update: ListUpdate::Lost, backends: Vec::new() });
+        let asked = calls.iter_mut().find(|_| {
+            host.advance(100_000);
+            host.follows > 1
+        });
+        *asked.expect("asked again within 6 s") += 1;
+    }
+    calls
+}
+
+#[test]
+fn after_a_loss_a_large_fleet_spreads_its_calls_and_a_small_one_calls_soon() {
+    // Herd days: a hundred lost subscriptions were asked for again within a second, and again, 1,030 times in
+    // 23 s, of a service that takes a few calls a second; lists came so late that most sends met drained ones.
+    let many = asked_again(100);
+    assert!(many.iter().all(|calls| *calls <= 8), "{many:?}");
+    assert!(many[..20].iter().sum::<u32>() >= 20, "some ask soon: {many:?}");
+    let few = asked_again(3);
+    assert_eq!(few[..2].iter().sum::<u32>(), 3, "{few:?}");
+}
+
 #[test]
 fn a_few_proxies_use_every_backend() {
     let list: Vec<Backend> = (0..9).map(|i| backend(i, 0, i % 2)).collect();
