Walk each ring once with the readiness already summed, and share one serving loop in tests

Behaviour stays. src/aperture.rs, place_window: each backend's arc is found once instead of three times, peers are not searched again for every kind, and the kind's readiness is the one that solve has just summed. tests: `serve` of failures.rs was written again twice in fleet.rs; it stands in tests/common now and serves both. No assertion or bound changed.

--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -30,26 +30,27 @@
             BackendState::Ready => warmth(cfg, now, &p.entry, LIKELY_RAMP),
             _ => 0.0,
         };
-        let mut rings: BTreeMap<KindId, (f64, f64)> = BTreeMap::new();
-        for p in self.peers.values() {
-            let (count, length) = rings.entry(p.entry.kind).or_default();
-            (*count, *length) = (*count + f64::from(arc(p) > 0.0), *length + arc(p));
+        let mut rings: BTreeMap<KindId, Vec<(f64, &mut Peer)>> = BTreeMap::new();
+        for p in self.peers.values_mut() {
+            rings.entry(p.entry.kind).or_default().push((arc(p), p));
         }
         let start = (f64::from(cfg.position) * GOLDEN).fract();
-        for (kind, (count, length)) in rings {
+        for (kind, mut ring) in rings {
+            let count = ring.iter().filter(|(arc, _)| *arc > 0.0).count() as f64;
+            let length: f64 = ring.iter().map(|(arc, _)| arc).sum();
             let width = (REACH / proxies).max(LEAST / count.max(1.0)).min(1.0);
-            let (mut at, mut covered, mut ready) = (0.0, 0.0, 0.0);
-            for p in self.peers.values_mut().filter(|p| p.entry.kind == kind) {
-                let end = at + arc(p) / length.max(1e-12);
+            let (mut at, mut covered) = (0.0, 0.0);
+            for (arc, p) in &mut ring {
+                let end = at + *arc / length.max(1e-12);
                 p.slice = if width < 1.0 { overlap((at, end), start, width) } else { 1.0 };
-                (at, covered, ready) = (end, covered + p.ready * p.slice, ready + p.ready);
+                (at, covered) = (end, covered + p.ready * p.slice);
             }
             let k = self.kinds.entry(kind).or_default();
-            (k.width, k.gain) = (width, ready / covered.max(1e-12));
+            (k.width, k.gain) = (width, k.ready / covered.max(1e-12));
             if covered <= 0.0 {
                 // All in the window are out of use: better any other of the kind than none.
                 (k.width, k.gain) = (1.0, 1.0);
-                self.peers.values_mut().filter(|p| p.entry.kind == kind).for_each(|p| p.slice = 1.0);
+                ring.iter_mut().for_each(|(_, p)| p.slice = 1.0);
             }
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -261,3 +261,15 @@
         each.collect()
     }
 }
+
+/// Requests one by one, each served after a time that may depend on its backend.
+pub fn serve(host: &mut Host, count: usize, class: usize, time: impl Fn(u32) -> u64) -> Vec<u32> {
+    let mut chosen = Vec::new();
+    for _ in 0..count {
+        let id = host.arrive(class, 900_000);
+        chosen.extend(host.sent_to(id));
+        host.advance(host.sent_to(id).first().map_or(5_000, |b| time(*b)));
+        host.end(id, 0, Outcome::Ok);
+    }
+    chosen
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use beechworks::*;
-use common::{backend, class, Host};
+use common::{backend, class, serve, Host};
 
 fn fleet(count: u32) -> Vec<Backend> {
     (0..count).map(|i| backend(i, 0, 0)).collect()
@@ -18,18 +18,6 @@
     host
 }
 
-/// Requests one by one, each served after a time that may depend on its backend.
-fn serve(host: &mut Host, count: usize, class: usize, time: impl Fn(u32) -> u64) -> Vec<u32> {
-    let mut chosen = Vec::new();
-    for _ in 0..count {
-        let id = host.arrive(class, 900_000);
-        chosen.extend(host.sent_to(id));
-        host.advance(host.sent_to(id).first().map_or(5_000, |b| time(*b)));
-        host.end(id, 0, Outcome::Ok);
-    }
-    chosen
-}
-
 #[test]
 fn an_unsound_configuration_is_a_typed_error() {
     let bad = |change: fn(&mut Config)| {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use beechworks::*;
-use common::{backend, Host};
+use common::{backend, serve, Host};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The proxies of a fleet, all told the same list.
@@ -16,22 +16,11 @@
     (0..proxies).map(start).collect()
 }
 
-/// Where a proxy sends so many requests, one after another.
-fn sends(host: &mut Host, count: usize) -> Vec<u32> {
-    let mut chosen = Vec::new();
-    for _ in 0..count {
-        let id = host.arrive(0, 900_000);
-        chosen.extend(host.sent_to(id));
-        host.serve_all(20_000);
-    }
-    chosen
-}
-
 /// How many proxies use each backend, and how many requests it gets of all.
 fn spread<'a>(hosts: impl Iterator<Item = &'a mut Host>, count: usize) -> BTreeMap<u32, (usize, usize)> {
     let mut spread: BTreeMap<u32, (usize, usize)> = BTreeMap::new();
     for host in hosts {
-        let chosen = sends(host, count);
+        let chosen = serve(host, count, 0, |_| 20_000);
         chosen.iter().for_each(|b| spread.entry(*b).or_default().1 += 1);
         chosen.into_iter().collect::<BTreeSet<_>>().iter().for_each(|b| spread.entry(*b).or_default().0 += 1);
     }
@@ -98,7 +87,7 @@
 fn a_window_whose_backends_are_all_ejected_lets_the_rest_of_the_kind_serve() {
     let list: Vec<Backend> = (0..40).map(|i| backend(i, 0, 0)).collect();
     let mut host = fleet(200, &list).swap_remove(7);
-    let window: BTreeSet<u32> = sends(&mut host, 60).into_iter().collect();
+    let window: BTreeSet<u32> = serve(&mut host, 60, 0, |_| 20_000).into_iter().collect();
     assert!(window.len() <= 5, "{window:?}");
     for _ in 0..40 {
         let id = host.arrive(0, 900_000);
@@ -122,14 +111,9 @@
     let list: Vec<Backend> = (0..12).map(|i| backend(i, 0, i % 2)).collect();
     let (mut odd, mut all) = (0, 0);
     for mut host in fleet(40, &list) {
-        for i in 0..400 {
-            let id = host.arrive(0, 900_000);
-            let to = host.sent_to(id).first().copied();
-            host.advance(to.map_or(5_000, |b| if b == 1 { 380_000 } else { 30_000 }));
-            host.end(id, 0, Outcome::Ok);
-            let counts = i >= 200 && to.is_some();
-            (odd, all) = (odd + u32::from(counts && to.is_some_and(|b| b % 2 == 1)), all + u32::from(counts));
-        }
+        let chosen = serve(&mut host, 400, 0, |b| if b == 1 { 380_000 } else { 30_000 });
+        let late = chosen.iter().skip(200);
+        (odd, all) = (odd + late.clone().filter(|b| **b % 2 == 1).count(), all + late.count());
     }
     assert!(odd * 10 >= all * 3, "{odd} of {all} went to that kind");
 }
