Let the tests' proxies take a port from the system and tell it in a log line

The tests took a free port, let it go and named it to the proxy (free_address in tests/sockets/mod.rs); until the proxy bound it, a backend, a discovery, another proxy or the near end of any connection of the parallel tests could be given the same port. The proxy then ended at its start, or a silent backend took the readiness call and held it.

Now the configuration says port 0, and the proxy logs `listening on` with the address that it got, which an operator with port 0 needs as well. Addresses that must refuse stand on 127.0.0.2, where no test listens, for the same race was there. Without the line in main.rs every test of tests/proxy.rs fails on waiting for it.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -45,6 +45,9 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
+    // Where it was told port 0 this line alone tells the port.
+    let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    tracing::info!("listening on {bound}");
     let clock = clock::Clock::new();
     // Clients and backends share what the rest leaves.
     let clients = (config.sockets - RESERVE) / 2;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -145,7 +145,7 @@
 fn a_refused_connection_proves_that_nothing_ran() {
     let backend = Backend::start(|_| ok("served"));
     let discovery = Discovery::start();
-    let lines = [line("a", free_address(), "ready", 0), line("b", backend.address, "ready", 0)];
+    let lines = [line("a", refusing_address(), "ready", 0), line("b", backend.address, "ready", 0)];
     let proxy = Proxy::start(&config(discovery.address, &lines));
     // The first that meets it may find no retry to spend yet; after that the module leaves it out.
     (0..10).for_each(|_| assert_ne!(ask(&proxy, &request("pay", 7000)).status(), 502));
@@ -322,7 +322,7 @@
 fn a_subscription_is_asked_for_by_the_module() {
     let backend = Backend::start(|_| ok("x"));
     let discovery = Discovery::start();
-    let mut config = config(discovery.address, &[line("a", free_address(), "draining", 0)]);
+    let mut config = config(discovery.address, &[line("a", refusing_address(), "draining", 0)]);
     config["settings"]["discovery"] = json!("subscribe");
     let proxy = Proxy::spawn(&config);
     discovery.say("no list");
@@ -463,7 +463,7 @@
 
 #[test]
 fn a_bad_configuration_is_one_line_that_names_the_key() {
-    let good = config(free_address(), &[]);
+    let good = config(refusing_address(), &[]);
     let bad = |pointer: &str, value: Value| {
         let mut config = good.clone();
         *config.pointer_mut(pointer).unwrap() = value;
@@ -480,7 +480,7 @@
         (bad("/settings/group_size", json!(0)), "settings: proxies: expected at least 1"),
     ];
     for (config, message) in cases {
-        let mut proxy = Proxy::spawn(&config);
+        let mut proxy = Proxy::launch(&config, "unlimited");
         assert!(!proxy.exit().success());
         until("its message", || proxy.log().contains(message));
         assert_eq!(proxy.log().lines().count(), 1, "{}", proxy.log());
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -230,14 +231,14 @@
     })
 }
 
-/// A free address; the listener that held it is gone, so the next to bind it gets it.
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// An address at which nobody listens: all listeners here are on 127.0.0.1.
+pub fn refusing_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 1))
 }
 
 pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
     json!({
-        "name": "n1", "listen": free_address().to_string(), "discovery": discovery.to_string(),
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"index": 0, "snapshot": true, "endpoints": known}, "settings": settings(),
     })
@@ -247,9 +248,13 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
+    file: PathBuf,
     log: Arc<Mutex<String>>,
 }
 
+/// Numbers the configuration files.
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
 impl Proxy {
     /// Starts one and waits until it says that it is ready.
     pub fn start(config: &Value) -> Proxy {
@@ -258,14 +263,27 @@
         proxy
     }
 
+    /// Starts one and waits until it listens, on a port that the system gave it.
     pub fn spawn(config: &Value) -> Proxy {
         Proxy::spawn_with(config, "unlimited")
     }
 
     /// With the system's own limit on descriptors, which the configuration does not tell.
     pub fn spawn_with(config: &Value, descriptors: &str) -> Proxy {
-        let address = config["listen"].as_str().unwrap().parse().unwrap_or_else(|_| free_address());
-        let file = std::env::temp_dir().join(format!("gaugesaddle-{address}.json"));
+        let mut proxy = Proxy::launch(config, descriptors);
+        until("the line that tells its address", || {
+            let log = proxy.log();
+            let told = log.lines().find_map(|l| l.split_once("listening on ")?.1.parse().ok());
+            told.map(|address| proxy.address = address).is_some()
+        });
+        proxy
+    }
+
+    /// Starts one that need not come so far as to listen; its address is not known.
+    pub fn launch(config: &Value, descriptors: &str) -> Proxy {
+        let name =
+            format!("gaugesaddle-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
+        let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string()).unwrap();
         let limit =
             if descriptors == "unlimited" { String::new() } else { format!("ulimit -n {descriptors}; ") };
@@ -285,7 +303,7 @@
                 kept.lock().unwrap().push_str(&std::mem::take(&mut line));
             }
         });
-        Proxy { child, address, log }
+        Proxy { child, address: refusing_address(), file, log }
     }
 
     /// The status of its readiness, 0 if it does not answer.
@@ -308,15 +326,11 @@
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
-    fn file(&self) -> PathBuf {
-        std::env::temp_dir().join(format!("gaugesaddle-{}.json", self.address))
-    }
-
     /// Replaces the configuration file, whole at once, and tells the proxy.
     pub fn reload(&self, text: &str) {
-        let next = self.file().with_extension("next");
+        let next = self.file.with_extension("next");
         std::fs::write(&next, text).unwrap();
-        std::fs::rename(&next, self.file()).unwrap();
+        std::fs::rename(&next, &self.file).unwrap();
         self.signal("-HUP");
     }
 
@@ -334,7 +348,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(self.file());
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
