Count one refused dial in its backend's error share instead of ejecting at once

Fleet issue: a backend whose table is full refuses dials, which is no illness. One refused dial ejected it for a second in every proxy that met one (`learn`, src/logic.rs, the arm that caught all other outcomes), with the proxy's standing connections to it. A refused dial now weighs what a reset does: the request goes elsewhere, two close together eject, and after an ejection the first is enough, so that a table that stays full is dialled less and less, with the term's jitter and cap (test: 4 to 12 dials of a proxy in 42 s).

The test fails without the change: "shut out for one refused dial".

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -276,10 +276,11 @@
             // A heavy request alone is no illness: other answers came back meanwhile.
             Outcome::TimedOut if p.answered >= sent => {}
             // One connection that breaks is no dead process: that breaks them all, and refuses the next.
-            Outcome::Error | Outcome::Reset => {
+            // Nor is one refused: a full table refuses too. After an ejection the first refused is enough.
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 p.answered = if end.outcome == Outcome::Error { now } else { p.answered };
                 p.errors += (1.0 - p.errors) * ERROR_STEP;
-                if p.errors > ERROR_LIMIT {
+                if p.errors > ERROR_LIMIT || (end.outcome == Outcome::ConnectFailed && p.strikes > 0) {
                     self.eject(now, id, end.outcome);
                 }
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -282,6 +282,33 @@
     assert!((10..=26).contains(&errors), "{errors} errors in half a minute");
 }
 
+#[test]
+fn one_refused_dial_shuts_no_backend_out_and_a_full_table_is_dialled_less_and_less() {
+    // A full table refuses dials though its backend serves all those that it has taken.
+    let mut host = host(config(vec![class(Effect::Unsafe)]), fleet(4));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let id = host.arrive(0, 900_000);
+    let met = host.sent_to(id)[0];
+    host.end(id, 0, Outcome::ConnectFailed);
+    assert!(host.sent_to(id).len() == 2 && host.sent_to(id)[1] != met, "it goes elsewhere");
+    host.end(id, 1, Outcome::Ok);
+    // Well within the shortest term of an ejection.
+    assert!(serve(&mut host, 120, 0, |_| 5_000).contains(&met), "shut out for one refused dial");
+    let mut dials = 0;
+    for _ in 0..3_000 {
+        let id = host.arrive(0, 900_000);
+        host.advance(10_000);
+        for (id, no) in host.out() {
+            let refused = host.sent_to(id)[no] == met;
+            dials += u32::from(refused);
+            host.end(id, no, if refused { Outcome::ConnectFailed } else { Outcome::Ok });
+        }
+        host.serve_all(4_000);
+        assert_eq!(host.requests[&id].answer, Some("served"));
+    }
+    assert!((4..=12).contains(&dials), "{dials} dials in 42 s");
+}
+
 #[test]
 fn one_broken_connection_shuts_no_backend_out_but_a_dead_process_is() {
     // A day of steady single resets kept a sixth of a fleet of ten out that served all others well.
