Take no backend back in a panic whose last dial failed, so long as there are others

With two more ejected for errors, more than half were out, and `solve` (src/logic.rs) gave every ejected one full readiness, the dead ones among them, for as long as that lasted.

Now the record says that the last known of a backend is a dial that failed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,7 +37,8 @@
 const EJECT_TERM: f64 = 1.0;
 /// Strikes that count at most: a backend that is well again is back within some seconds.
 const STRIKES: i32 = 3;
-/// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill.
+/// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill. Not those
+/// to which no connection came up, so long as there are others.
 const PANIC: f64 = 0.5;
 /// The pool's allowance for chance, in spreads of a random count with the pool's mean.
 const POOL_SPREAD: f64 = 1.5;
@@ -264,6 +265,11 @@
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
+        p.unreachable = match end.outcome {
+            Outcome::ConnectFailed => true,
+            Outcome::Ok | Outcome::Error | Outcome::Full => false,
+            _ => p.unreachable,
+        };
         match end.outcome {
             Outcome::Ok => {
                 p.served(now, end.latency);
@@ -373,7 +379,11 @@
         self.solved = now;
         self.blocked = 0.0;
         let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
-        let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
+        let count = |n: (f64, f64, f64), p: &Peer| {
+            let ejected = f64::from(p.ejected.is_some());
+            (n.0 + 1.0, n.1 + ejected, n.2 + ejected * f64::from(p.unreachable))
+        };
+        let (all, out, unreachable) = listed.fold((0.0, 0.0, 0.0), count);
         self.kinds.values_mut().for_each(|k| k.ready = 0.0);
         for p in self.peers.values_mut() {
             if p.ejected.is_some_and(|until| now >= until) {
@@ -384,7 +394,7 @@
             k.idle_weight = k.idle_weight.max(p.entry.weight);
             let health = match p.ejected {
                 _ if p.entry.state != BackendState::Ready => 0.0,
-                Some(_) => f64::from(out > all * PANIC),
+                Some(_) => f64::from(out > all * PANIC && (!p.unreachable || unreachable == all)),
                 None => 1.0 - p.errors,
             };
             p.ready = health
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,6 +162,8 @@
     pub silent: bool,
     /// Out of use, until this time at least.
     pub ejected: Option<Time>,
+    /// The last that is known of it is a connection that did not come up.
+    pub unreachable: bool,
     /// Ejections not yet made good, and how many good answers still owed for that.
     pub strikes: i32,
     pub owes: u32,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 use beechworks::*;
 use common::{backend, class, serve, Host};
+use std::collections::BTreeSet;
 
 fn fleet(count: u32) -> Vec<Backend> {
     (0..count).map(|i| backend(i, 0, 0)).collect()
@@ -309,6 +310,37 @@
     assert!((4..=12).contains(&dials), "{dials} dials in 42 s");
 }
 
+#[test]
+fn with_half_of_the_fleet_ejected_those_that_cannot_be_reached_stay_out() {
+    // A day of garbled answers: with three backends of nine dead and two ejected for errors, all were used
+    // again, and one proxy dialled the dead ones a hundred times a second.
+    let mut host = host(config(vec![class(Effect::Unsafe)]), fleet(6));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let (mut dials, mut late) = (0, BTreeSet::new());
+    for i in 0..600 {
+        host.arrive(0, 900_000);
+        host.advance(10_000);
+        for (id, no) in host.out() {
+            let to = host.sent_to(id)[no];
+            let outcome = [Outcome::ConnectFailed, Outcome::Error, Outcome::Ok][to as usize / 2];
+            dials += u32::from(outcome == Outcome::ConnectFailed);
+            host.end(id, no, outcome);
+            if i >= 300 {
+                late.insert(to);
+            }
+        }
+    }
+    assert!(dials <= 20, "{dials} dials to two dead backends in 6 s");
+    assert!(late.contains(&2) && late.contains(&3), "the others are used: {late:?}");
+    // With nobody else left they are tried: it may be the way to all of them that was cut.
+    for _ in 0..30 {
+        host.arrive(0, 900_000);
+        host.advance(10_000);
+        host.out().into_iter().for_each(|(id, no)| host.end(id, no, Outcome::ConnectFailed));
+    }
+    assert!(!serve(&mut host, 5, 0, |_| 5_000).is_empty(), "none is tried");
+}
+
 #[test]
 fn one_broken_connection_shuts_no_backend_out_but_a_dead_process_is() {
     // A day of steady single resets kept a sixth of a fleet of ten out that served all others well.
