--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod aperture;
+mod ejection;
 mod interface;
 mod logic;
 pub mod settings;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,24 +22,9 @@
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
 pub(crate) const HOLD: f64 = 4.0;
-/// Good answers owed after an ejection for errors: as a rule two errors come sooner where a fourth are.
-const AMENDS: u32 = 10;
-/// Error share from which a backend is ejected: two errors close together reach it.
-const ERROR_LIMIT: f64 = 0.3;
-/// Weight of the newest outcome in a backend's error share.
-const ERROR_STEP: f64 = 0.2;
-/// An unanswered attempt this many times older than usual, with no later answer, marks silence.
-const SILENT_AFTER: f64 = 6.0;
 /// An attempt past its aim and this many times older than usual, on a backend that answered others since, is
 /// lost with its connection and holds room in vain: a slowed backend answers, if ten times slower.
 const STUCK_AFTER: f64 = 12.0;
-/// First term of an ejection, s; it doubles with each strike that still stands.
-const EJECT_TERM: f64 = 1.0;
-/// Strikes that count at most: a backend that is well again is back within some seconds.
-const STRIKES: i32 = 3;
-/// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill. Not those
-/// to which no connection came up, so long as there are others.
-const PANIC: f64 = 0.5;
 /// The pool's allowance for chance, in spreads of a random count with the pool's mean.
 const POOL_SPREAD: f64 = 1.5;
 /// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
@@ -218,7 +203,7 @@
     }
 
     /// Until when an attempt's answer is brisk.
-    fn brisk(&self, backend: BackendId, class: usize) -> Micros {
+    pub(crate) fn brisk(&self, backend: BackendId, class: usize) -> Micros {
         let aim = self.cfg.classes[class].aim.secs();
         let kind = self.peers.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
         let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(class));
@@ -226,7 +211,7 @@
     }
 
     /// Many proxies cannot bound what a backend holds; each learns from its answers that all hold too much.
-    fn gauge(&mut self, brisk: bool) {
+    pub(crate) fn gauge(&mut self, brisk: bool) {
         if f64::from(self.cfg.proxies) <= HOLD {
             return; // the rooms of so few proxies bound it well enough
         }
@@ -261,51 +246,6 @@
         }
     }
 
-    /// What an outcome says of the backend, its kind and its class.
-    fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
-        let Some(p) = self.peers.get_mut(&id) else { return };
-        p.out = p.out.saturating_sub(1);
-        p.unreachable = match end.outcome {
-            Outcome::ConnectFailed => true,
-            Outcome::Ok | Outcome::Error | Outcome::Full => false,
-            _ => p.unreachable,
-        };
-        match end.outcome {
-            Outcome::Ok => {
-                p.served(now, end.latency);
-                p.errors *= 1.0 - ERROR_STEP;
-                p.forgive();
-                let kind = p.entry.kind;
-                self.served(kind, class, end.latency);
-            }
-            Outcome::Cancelled | Outcome::NeverSent | Outcome::Full => {}
-            // A heavy request alone is no illness: other answers came back meanwhile.
-            Outcome::TimedOut if p.answered >= sent => {}
-            // One connection that breaks is no dead process: that breaks them all, and refuses the next.
-            // Nor is one refused: a full table refuses too. After an ejection the first refused is enough.
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
-                p.answered = if end.outcome == Outcome::Error { now } else { p.answered };
-                p.errors += (1.0 - p.errors) * ERROR_STEP;
-                if p.errors > ERROR_LIMIT || (end.outcome == Outcome::ConnectFailed && p.strikes > 0) {
-                    self.eject(now, id, end.outcome);
-                }
-            }
-            _ => self.eject(now, id, end.outcome),
-        }
-    }
-
-    fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
-        let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
-        let Some(p) = self.peers.get_mut(&id) else { return };
-        if p.ejected.is_none_or(|until| now >= until) {
-            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(STRIKES)).exp2()));
-            (p.strikes, p.ready) = (p.strikes + 1, 0.0);
-            p.owes = if why == Outcome::Error { AMENDS } else { 1 };
-            self.wake_by(now + self.cfg.tick);
-            self.log(now, format!("backend {} ejected: {why:?}", id.0));
-        }
-    }
-
     /// Every tick: what time alone brings about.
     fn look_after(&mut self, now: Time) {
         if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
@@ -347,57 +287,17 @@
         over.into_iter().for_each(|id| self.give_up(id));
     }
 
-    /// Marks the backends that owe an answer for suspiciously long.
-    fn suspect(&mut self, now: Time) {
-        for id in std::mem::take(&mut self.silent) {
-            self.peers.get_mut(&id).into_iter().for_each(|p| p.silent = false);
-        }
-        let mut attempts = std::mem::take(&mut self.attempts);
-        for (backend, class, sent, late) in attempts.values_mut() {
-            // Late is known once the time is up: an overloaded backend answers only much later.
-            let limit = *sent + self.brisk(*backend, *class);
-            if !*late && now >= limit {
-                *late = true;
-                self.gauge(false);
-            }
-            let usual = self.usual(*class);
-            let from = *sent + usual.times(SILENT_AFTER);
-            let next = if now < from { from } else { now + usual };
-            self.wake_by(if *late { next } else { next.min(limit) });
-            let peer = self.peers.get_mut(backend).filter(|p| now >= from && p.answered <= *sent);
-            if let Some(p) = peer {
-                p.silent = true;
-                self.silent.push(*backend);
-            }
-        }
-        self.attempts = attempts;
-    }
-
     /// Readiness of every backend, speed and share of every kind.
     fn solve(&mut self, now: Time) {
         let passed = (now - self.solved).secs();
         self.solved = now;
         self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
-        let count = |n: (f64, f64, f64), p: &Peer| {
-            let ejected = f64::from(p.ejected.is_some());
-            (n.0 + 1.0, n.1 + ejected, n.2 + ejected * f64::from(p.unreachable))
-        };
-        let (all, out, unreachable) = listed.fold((0.0, 0.0, 0.0), count);
+        self.judge(now);
         self.kinds.values_mut().for_each(|k| k.ready = 0.0);
         for p in self.peers.values_mut() {
-            if p.ejected.is_some_and(|until| now >= until) {
-                // It comes back as it is: the next failure ejects it for longer.
-                (p.ejected, p.errors) = (None, 0.0);
-            }
             let k = self.kinds.entry(p.entry.kind).or_default();
             k.idle_weight = k.idle_weight.max(p.entry.weight);
-            let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready => 0.0,
-                Some(_) => f64::from(out > all * PANIC && (!p.unreachable || unreachable == all)),
-                None => 1.0 - p.errors,
-            };
-            p.ready = health
+            p.ready = p.health
                 * warmth(&self.cfg, now, &p.entry, LIKELY_RAMP)
                 * uncrowded(&self.cfg, &p.entry, k.idle_weight);
             k.ready += p.ready;
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -13,11 +13,13 @@
 
 #[test]
 fn the_decision_module_stays_reviewable() {
-    stays_reviewable("src/logic.rs", 100..=550);
+    stays_reviewable("src/logic.rs", 100..=500);
     stays_reviewable("src/aperture.rs", 20..=120);
+    stays_reviewable("src/ejection.rs", 20..=150);
     let deploy =
         std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/balancer.toml")).unwrap();
     let policy = deploy.lines().find(|l| l.starts_with("policy")).unwrap();
     let named = policy.split('"').filter(|part| part.ends_with(".rs")).collect::<Vec<_>>();
-    assert_eq!(named, ["src/logic.rs", "src/aperture.rs"], "each file of decisions has its bound here");
+    let bounded = ["src/logic.rs", "src/aperture.rs", "src/ejection.rs"];
+    assert_eq!(named, bounded, "each file of decisions has its bound here");
 }
