Give up a call for the whole list after 5.5 s, not after 21.5 s as if it were a watch

The call went out without a wait of its own, but `Watch::run` (src/bin/gaugesaddle/discovery.rs) gave every call of a subscribing proxy the 20 s that it grants a watch, and 1.5 s more. Against a discovery that takes the call and says nothing the proxy lived 21.5 s without news, while what discovery has to tell counts as told 6 s after such a call, 4 s after the signal. A call without a version now has 4 s, for its turn in the queue, and the same grace; then the module spreads the next as after any loss. Watches keep their time, and the list held stays.

Ruled out: that a pushed list is held as long (5.5 s by its own wait, tested before).

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -34,6 +34,9 @@
 const PUSH_WAIT: Duration = Duration::from_secs(4);
 /// Where all proxies ask one service, each call costs it work.
 const ASK_WAIT: Duration = Duration::from_secs(20);
+/// The whole list waits for no news, only for its turn in the service's queue; what it tells counts as told 6 s
+/// after the call.
+const LIST_WAIT: Duration = Duration::from_secs(4);
 /// An answer that is this late does not come.
 const GRACE: Duration = Duration::from_millis(1500);
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
@@ -126,13 +129,17 @@
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
-        let wait = if pushed { PUSH_WAIT } else { ASK_WAIT };
         let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
         loop {
             if !watching {
                 self.follow.notified().await;
             }
             let address = *self.address.borrow_and_update();
+            let wait = match self.index {
+                None => LIST_WAIT,
+                Some(_) if pushed => PUSH_WAIT,
+                Some(_) => ASK_WAIT,
+            };
             // An agent that never answers must not hold the watch: every call has its time.
             let call = tokio::time::timeout(wait + GRACE, call(address, self.index, &mut line, wait));
             let answer = tokio::select! {
