Test fleets of up to a thousand: a cold backend, even parts, an empty list, a new kind

Behaviour is unchanged; each test was seen to fail:

- a cold backend beside crowded ones, 12 to 1,000 proxies: fails where its part of the draw is not bounded (46 sent in two seconds of 39 allowed, 12 proxies) and where its warmth does not count (52 of 38, 400 proxies);
- even parts and few users of a backend at 300 and 1,000 proxies, and after an empty list a kind never seen: both fail without the windows.

The floor of three for each proxy and window was suspected; it is the draw by readiness that bounds the sum.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,17 +3,23 @@
 mod common;
 use beechworks::*;
 use common::{backend, serve, Host};
+use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The proxies of a fleet, all told the same list.
 fn fleet(proxies: u32, list: &[Backend]) -> Vec<Host> {
+    fleet_of(&Config { proxies, ..Config::example() }, list)
+}
+
+/// The same with other settings.
+fn fleet_of(cfg: &Config, list: &[Backend]) -> Vec<Host> {
     let start = |position| {
-        let cfg = Config { proxies, position, ..Config::example() };
+        let cfg = Config { position, ..cfg.clone() };
         let mut host = Host::new(cfg, u64::from(position) + 1);
         host.members(ListUpdate::Full, list.to_vec());
         host
     };
-    (0..proxies).map(start).collect()
+    (0..cfg.proxies).map(start).collect()
 }
 
 /// How many proxies use each backend, and how many requests it gets of all.
@@ -117,3 +123,85 @@
     }
     assert!(odd * 10 >= all * 3, "{odd} of {all} went to that kind");
 }
+
+#[test]
+fn after_an_empty_list_a_kind_never_seen_is_used_as_soon_as_it_is_listed() {
+    let list: Vec<Backend> = (0..60).map(|i| backend(i, 0, i % 3)).collect();
+    let mut hosts = fleet(100, &list);
+    spread(hosts.iter_mut(), 20);
+    let other: Vec<Backend> = (100..140).map(|i| backend(i, 0, 9)).collect();
+    for host in &mut hosts {
+        host.members(ListUpdate::Full, Vec::new());
+        let lost = host.arrive(0, 300_000);
+        host.advance(300_000);
+        assert!(host.sent_to(lost).is_empty());
+        assert_eq!(host.requests[&lost].answer, Some("refused"));
+        let held = host.arrive(0, 900_000);
+        host.members(ListUpdate::Full, other.clone());
+        assert_eq!(host.sent_to(held).len(), 1, "sent as soon as there is a list");
+        host.serve_all(20_000);
+    }
+    let all = spread(hosts.iter_mut(), 40);
+    assert_eq!(all.len(), 40, "every backend of the new kind is used");
+    assert!(all.values().all(|(proxies, _)| *proxies <= 14), "{all:?}");
+}
+
+#[test]
+fn a_fleet_far_over_a_hundred_still_gives_each_backend_its_even_part() {
+    // Each proxy needs one backend at least: there are that many more proxies than backends.
+    let list: Vec<Backend> = (0..60).map(|i| backend(i, 0, 0)).collect();
+    for proxies in [300, 1_000] {
+        let all = spread(fleet(proxies, &list).iter_mut(), 20);
+        let mean = proxies as usize * 20 / 60;
+        for (b, (users, requests)) in &all {
+            assert!(*users <= proxies as usize / 10, "{users} of {proxies} proxies use backend {b}");
+            assert!((mean / 2..=mean * 3 / 2).contains(requests), "{requests} to {b}, {mean} on average");
+        }
+        assert_eq!(all.len(), 60, "every backend is used");
+    }
+}
+
+/// For so many steps, `per_s` requests a second come to the proxies by chance, each answered after one step;
+/// gives when each try went to the backend that is watched.
+fn times_sent_to(watched: u32, hosts: &mut [Host], per_s: f64, step: u64, steps: u32) -> Vec<u64> {
+    let mut dice = rand_pcg::Pcg32::seed_from_u64(hosts.len() as u64);
+    let mean = per_s * step as f64 / 1e6 / hosts.len() as f64;
+    let mut sent = Vec::new();
+    for host in hosts {
+        for _ in 0..steps {
+            let count = mean + f64::from(dice.next_u32()) / f64::from(u32::MAX);
+            host.burst(count as usize, 0, 400_000);
+            host.serve_all(step);
+            let tries = host.requests.values().filter(|r| r.answer.is_some()).flat_map(|r| &r.tries);
+            sent.extend(tries.filter(|t| t.backend.0 == u64::from(watched)).map(|t| t.at.0));
+            host.requests.retain(|_, r| r.answer.is_none());
+        }
+    }
+    sent.sort_unstable();
+    sent
+}
+
+#[test]
+fn a_cold_backend_is_not_pushed_over_by_a_fleet_of_any_size() {
+    // Sixty backends that serve 50 a second each are sent two thirds of that, and from the moment in which one
+    // starts again 4,000 a second. Beside the crowded others the empty one is all that has room.
+    for proxies in [12, 100, 400, 1000] {
+        let list: Vec<Backend> = (0..60).map(|i| backend(i, 0, i % 3)).collect();
+        let cfg = Config { proxies, cold_from: 0.1, fall_multiple: 2.0, ..Config::example() };
+        let mut hosts = fleet_of(&cfg, &list);
+        times_sent_to(7, &mut hosts, 2_000.0, 20_000, 100);
+        let start = hosts[0].now;
+        for host in &mut hosts {
+            let restarted = Backend { booted: Some(start), ..backend(7, 0, 1) };
+            host.members(ListUpdate::Changes, vec![restarted]);
+        }
+        let sent = times_sent_to(7, &mut hosts, 4_000.0, 80_000, 40);
+        assert!(sent.len() >= 10, "{proxies} proxies sent it {} in three seconds", sent.len());
+        for from in &sent {
+            let count = sent.iter().filter(|t| (*from..from + 2_000_000).contains(*t)).count();
+            let warmth = 0.1 + 0.9 * (from - start.0 + 1_000_000) as f64 / 10e6;
+            let limit = 2.0 * warmth * 50.0 * 2.0;
+            assert!(count as f64 <= limit, "{proxies} proxies sent it {count} of {limit} in two seconds");
+        }
+    }
+}
