Eject a backend for errors only where its share stands far above that of the others

The limit is now five spreads above the mean share of the others that are in use, and the old limit where those do not err.

The test: backends out of use in 15 of 540 half seconds, 58 without the change; one that errs at nine of ten is still shut out.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -457,6 +457,7 @@
                 tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
             }
         }
+        tracing::debug!("request {} attempt {} goes to backend {}", request.0, attempt.0, backend.0);
         let (call, deadline) = (r.call.clone(), r.deadline);
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -6,8 +6,10 @@
 
 /// Good answers owed after an ejection for errors: as a rule two errors come sooner where a fourth are.
 const AMENDS: u32 = 10;
-/// Error share from which a backend is ejected: two errors close together reach it.
+/// Least error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
+/// Spreads of such a share above that of the others from which it is not chance: of 2,000 answers one ejects.
+const ERROR_SPREADS: f64 = 5.0;
 /// Weight of the newest outcome in a backend's error share.
 const ERROR_STEP: f64 = 0.2;
 /// An unanswered attempt this many times older than usual, with no later answer, marks silence.
@@ -46,7 +48,9 @@
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                 p.answered = if end.outcome == Outcome::Error { now } else { p.answered };
                 p.errors += (1.0 - p.errors) * ERROR_STEP;
-                if p.errors > ERROR_LIMIT || (end.outcome == Outcome::ConnectFailed && p.strikes > 0) {
+                let (errors, again) = (p.errors, p.strikes > 0);
+                let limit = if p.unreachable { ERROR_LIMIT } else { self.error_limit(id) };
+                if errors > limit || (again && end.outcome == Outcome::ConnectFailed) {
                     self.eject(now, id, end.outcome);
                 }
             }
@@ -54,6 +58,17 @@
         }
     }
 
+    /// The error share that tells an ill backend from the others: where all err, for a way that garbles or a
+    /// request that none can answer, to eject those that erred last only crowds the rest.
+    fn error_limit(&self, id: BackendId) -> f64 {
+        let alive = |p: &Peer| p.ejected.is_none() && !p.unreachable && p.slice > 0.0;
+        let others = self.peers.iter().filter(|(b, p)| **b != id && alive(p));
+        let (sum, count) = others.fold((0.0, 0.0), |n, (_, p)| (n.0 + p.errors, n.1 + 1.0));
+        let mean = sum / f64::max(count, 1.0);
+        let spread = (mean * (1.0 - mean) * ERROR_STEP / (2.0 - ERROR_STEP)).sqrt();
+        (mean + ERROR_SPREADS * spread).max(ERROR_LIMIT)
+    }
+
     fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
         let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
         let Some(p) = self.peers.get_mut(&id) else { return };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 use beechworks::*;
 use common::{backend, class, serve, Host};
+use rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeSet;
 
 fn fleet(count: u32) -> Vec<Backend> {
@@ -341,6 +342,33 @@
     assert!(!serve(&mut host, 5, 0, |_| 5_000).is_empty(), "none is tried");
 }
 
+#[test]
+fn where_all_err_alike_none_is_shut_out_but_one_that_errs_far_more_is() {
+    // A day of garbled answers: all nine backends came back unreadable at every fourteenth, and by turns two
+    // errors close together had each of them out for seconds, until more than half were.
+    let mut host = host(config(vec![class(Effect::Unsafe)]), fleet(9));
+    let mut dice = rand_pcg::Pcg32::seed_from_u64(11);
+    // Half a second of requests; the fourth backend errs at another part of them. Gives how often each was used.
+    let mut play = |host: &mut Host, part: f64| {
+        let mut used = [0; 9];
+        for _ in 0..50 {
+            let id = host.arrive(0, 900_000);
+            let to = host.sent_to(id)[0] as usize;
+            used[to] += 1;
+            host.advance(10_000);
+            let part = if to == 3 { part } else { 0.07 };
+            let errs = f64::from(dice.next_u32()) < part * f64::from(u32::MAX);
+            host.end(id, 0, if errs { Outcome::Error } else { Outcome::Ok });
+        }
+        used
+    };
+    let unused = |used: [u32; 9]| used.iter().filter(|n| **n == 0).count();
+    let out: usize = (0..60).map(|_| unused(play(&mut host, 0.07))).sum();
+    assert!(out <= 30, "out of use in {out} of 540 half seconds");
+    let bad: u32 = (0..60).map(|_| play(&mut host, 0.9)[3]).sum();
+    assert!(bad <= 60, "{bad} of 3000 requests went to one that errs at nine of ten");
+}
+
 #[test]
 fn one_broken_connection_shuts_no_backend_out_but_a_dead_process_is() {
     // A day of steady single resets kept a sixth of a fleet of ten out that served all others well.
