--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -64,6 +64,27 @@
     assert_eq!(ask(&proxy, &read).status(), 200);
 }
 
+/// What a client sends in one piece is answered in turn; what ends before its end was never asked.
+#[test]
+fn pipelined_requests_are_answered_in_turn_and_a_cut_one_reaches_nobody() {
+    let backend = Backend::start(|m| ok(if m.start.contains("/vote/") { "vote" } else { "read" }));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let (read, vote) = (request("read", 7000), request("vote", 7000));
+    let mut client = Client::open(proxy.address);
+    client.send(&[&read[..], &vote, &read, &vote[..vote.len() - 2]].concat());
+    for body in ["read", "vote", "read"] {
+        assert_eq!(client.answer().map(|a| a.body), Some(body.into()));
+    }
+    client.stop_sending();
+    assert!(client.answer().is_none_or(|a| a.status() == 400));
+    // A head that never ends in time, and one that is larger than any that is read.
+    let long = read.replace("\r\n\r\n", &format!("\r\nX-Long: {}\r\n\r\n", "x".repeat(1 << 20)));
+    let mut client = Client::open(proxy.address);
+    client.send(&long);
+    assert!(client.answer().is_none_or(|a| a.status() == 431));
+    assert_eq!(backend.requests().len(), 3);
+}
+
 /// Requests enough that the module has retries to spend.
 fn warm_up(proxy: &Proxy) {
     (0..10).for_each(|_| assert_eq!(ask(proxy, &request("read", 7000)).status(), 200));
@@ -294,17 +315,40 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).body, b"new");
 }
 
+/// Whatever else discovery does, the list held stays in force, nobody is dialled for a line of a bad one, and
+/// the proxy goes on asking until a good one comes. Both where lists are pushed and where they are asked for.
 #[test]
-fn a_malformed_list_is_refused_and_the_old_one_stays() {
-    let backend = Backend::start(|_| ok("x"));
-    let (proxy, discovery) = proxy_for(&[("a", &backend)]);
-    let bad = json!({"index": 9, "snapshot": true, "endpoints": [{"name": "b"}]});
-    for text in [bad.to_string(), "[]".into(), "no json".into(), r#"{"index":1,"snapshot":true}"#.into()] {
-        discovery.say(&text);
-        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200, "after {text}");
+fn a_list_that_fails_to_come_is_refused_whole_and_the_old_one_stays() {
+    for mode in ["automatic", "subscribe"] {
+        let (backend, stranger) = (Backend::start(|_| ok("x")), Backend::start(|_| ok("stranger")));
+        let discovery = Discovery::start();
+        let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+        config["settings"]["discovery"] = json!(mode);
+        let proxy = Proxy::start(&config);
+        let good = line("b", stranger.address, "ready", 0);
+        let with = |bad: Value| json!({"index": 9, "snapshot": true, "endpoints": [good, bad]}).to_string();
+        let body = |text: &str| format!("Content-Length: {}\r\n\r\n{text}", text.len());
+        let replies = [
+            ok(&with(json!({"name": "c"}))),
+            ok(&with(line("c", stranger.address, "resting", 0))),
+            ok("[]"),
+            ok("no json"),
+            ok(r#"{"index":1,"snapshot":true}"#),
+            ok(r#"{"index":-1,"snapshot":true,"endpoints":[]}"#),
+            Reply::Say(format!("HTTP/1.1 503 x\r\n{}", body("busy"))),
+            Reply::Say(format!("HTTP/1.1 302 x\r\nLocation: http://{}/\r\n{}", stranger.address, body(""))),
+            Reply::SayAndClose("HTTP/1.1 2x0 OK\r\n\r\n".into()),
+            Reply::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"index\":9".into()),
+            Reply::SayAndClose(String::new()),
+        ];
+        for (n, reply) in replies.into_iter().enumerate() {
+            discovery.act(reply);
+            assert_eq!(ask(&proxy, &request("read", 7000)).body, b"x", "{mode}, after reply {n}");
+        }
+        discovery.tell(true, &[line("a", backend.address, "draining", 0)]);
+        until("the good list after them", || proxy.ready() == 503);
+        assert_eq!(stranger.opened(), 0);
     }
-    discovery.tell(true, &[line("a", backend.address, "draining", 0)]);
-    until("the good list after them", || proxy.ready() == 503);
 }
 
 /// An agent that takes calls and never answers: the proxy serves from what it knew, and asks anew.
@@ -343,11 +387,26 @@
         config["settings"]["discovery"] = json!(mode);
         let proxy = Proxy::start(&config);
         until("the watch", || old.calls() > 0);
-        for bad in ["no json".to_string(), json!({"discovery": "nowhere"}).to_string()] {
+        let with = |pointer: &str, value: Value| {
+            let mut bad = config.clone();
+            *bad.pointer_mut(pointer).unwrap() = value;
+            bad.to_string()
+        };
+        let bad_files = [
+            String::new(),
+            "no json".into(),
+            json!({"discovery": new.address.to_string()}).to_string(),
+            with("/discovery", json!("nowhere")),
+            with("/limits/sockets", json!(3)),
+            with("/settings/profiles/0/aim_us", json!(9_000_000)),
+            with("/settings/my_zone", json!("north")),
+        ];
+        for bad in bad_files {
             let before = proxy.log().matches("SIGHUP").count();
             proxy.reload(&bad);
             until("a line about the bad file", || proxy.log().matches("SIGHUP").count() > before);
             assert_eq!(ask(&proxy, &request("read", 7000)).body, b"a", "{mode}");
+            assert_eq!(new.calls(), 0, "{mode}: moved by {bad}");
         }
         config["discovery"] = json!(new.address.to_string());
         proxy.reload(&config.to_string());
@@ -482,6 +541,7 @@
 #[test]
 fn a_bad_configuration_is_one_line_that_names_the_key() {
     let good = config(refusing_address(), &[]);
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let bad = |pointer: &str, value: Value| {
         let mut config = good.clone();
         *config.pointer_mut(pointer).unwrap() = value;
@@ -496,6 +556,13 @@
         (bad("/settings/granularity_us", json!(-1)), "settings.granularity_us: expected whole microseconds"),
         (bad("/settings/limits/dial_timeout_us", json!(null)), "settings.limits.dial_timeout_us"),
         (bad("/settings/group_size", json!(0)), "settings: proxies: expected at least 1"),
+        (bad("/settings/position", json!(1)), "settings: position: expected less than proxies"),
+        (bad("/settings/my_zone", json!("north")), "settings.my_zone: expected one of zones"),
+        (bad("/settings/profiles/0/aim_us", json!(9_000_000)), "aim_us: expected no more than deadline_us"),
+        (bad("/settings/profiles/1/name", json!("read")), "the name stands twice"),
+        (bad("/settings/profiles/2/effect", json!("none")), "expected free, guarded or single_shot"),
+        (bad("/settings/discovery", json!("never")), "settings.discovery: expected automatic or subscribe"),
+        (bad("/listen", json!(taken.local_addr().unwrap().to_string())), "listen: expected a free address"),
     ];
     for (config, message) in cases {
         let mut proxy = Proxy::launch(&config, "unlimited");
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -141,8 +141,8 @@
 #[derive(Default)]
 struct News {
     index: u64,
-    /// The next answer, word for word.
-    answer: Option<String>,
+    /// What it does with a call that waits, or with the next.
+    answer: Option<Reply>,
 }
 
 /// Discovery: answers a call once there is news, or after its wait, or never.
@@ -180,8 +180,15 @@
                 }
             };
             drop(news);
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
-            let _ = stream.write_all((head + &answer).as_bytes());
+            match answer {
+                Reply::Say(text) => drop(stream.write_all(text.as_bytes())),
+                Reply::SayAndClose(text) => {
+                    let _ = stream.write_all(text.as_bytes());
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                    return;
+                }
+                Reply::Silence => {}
+            }
         }
     }
 
@@ -193,9 +200,14 @@
     }
 
     /// The same, word for word.
-    pub fn say(&self, answer: &str) {
+    pub fn say(&self, body: &str) {
+        self.act(ok(body));
+    }
+
+    /// Does that with a call, and waits until the proxy has asked again.
+    pub fn act(&self, reply: Reply) {
         let before = self.calls();
-        self.news.0.lock().unwrap().answer = Some(answer.into());
+        self.news.0.lock().unwrap().answer = Some(reply);
         self.news.1.notify_all();
         let least = if before == 0 { 2 } else { before + 1 };
         until("the next call of discovery", || self.calls() >= least);
@@ -372,6 +384,10 @@
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
     }
+    /// Sends no more; what was asked is still answered.
+    pub fn stop_sending(&mut self) {
+        let _ = self.stream.get_mut().shutdown(std::net::Shutdown::Write);
+    }
     /// Whether the proxy has closed the connection; waits for it.
     pub fn ends(&mut self) -> bool {
         matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
