Hand the driver what it shares as one struct, and drop the lint that was allowed away

`Driver::new` (src/bin/gaugesaddle/driver.rs) took eight arguments under an inherited allow of clippy::too_many_arguments. The pool, the inputs, the watch's call and the status now come as `Shared`, and the clock is the pool's.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -125,14 +125,19 @@
 /// Ticks after a deadline in which the module may still answer: its timers come a tick late at most.
 const GRACE_TICKS: u64 = 2;
 
+/// What the driver shares with the rest of the program.
+pub struct Shared {
+    pub pool: Rc<Pool>,
+    pub inputs: mpsc::UnboundedSender<Input>,
+    pub follow: Rc<Notify>,
+    pub status: Rc<Status>,
+}
+
 impl Driver {
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        clock: Clock, config: Config, seed: u64, open_cap: usize, pool: Rc<Pool>,
-        inputs: mpsc::UnboundedSender<Input>, follow: Rc<Notify>, status: Rc<Status>,
-    ) -> Result<Driver, ConfigError> {
+    pub fn new(config: Config, seed: u64, open_cap: usize, shared: Shared) -> Result<Driver, ConfigError> {
+        let Shared { pool, inputs, follow, status } = shared;
         Ok(Driver {
-            clock,
+            clock: pool.clock,
             balancer: Balancer::new(config.clone(), seed)?,
             config,
             seed,
@@ -480,7 +485,7 @@
         let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
         let (follow, status) = (Rc::default(), Rc::default());
         let mut driver =
-            Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
+            Driver::new(Config::example(), 1, 8, Shared { pool, inputs, follow, status }).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
         let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
         let deadline = clock.now() + Micros(1_000_000);
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -81,8 +81,8 @@
     if let Some(known) = config.known {
         let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
     }
-    let driver =
-        driver::Driver::new(clock, config.module, config.seed, config.open_cap, pool, sender, follow, status);
+    let shared = driver::Shared { pool, inputs: sender, follow, status };
+    let driver = driver::Driver::new(config.module, config.seed, config.open_cap, shared);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
     let driver = tokio::task::spawn_local(driver.run(inputs));
     tokio::task::spawn_local(async move {
