Work out health, zone biases and discovery's next call in one place each

- `judge` writes a backend's health straight into its readiness, which `solve` then scales: the field that only carried it from the one to the other is gone.
- `biases` names no zones where there is nothing to bias, instead of adding up all dues at each solving and then giving 1 for every zone.
- The wait of a call to discovery and its path were told apart by version in two places; `next_call` gives both.

--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -63,19 +63,22 @@
     /// How much more of its due a zone gets from this proxy. Where crossing zones costs traffic stays near so
     /// far as all proxies together still give every backend the same part: a zone whose backends are due less
     /// than its proxies bring sends its surplus to the zones due more. A window has too few of its zone.
+    /// Zones that are not named get just their due.
     pub(crate) fn biases(&self) -> BTreeMap<ZoneId, f64> {
         let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        if self.cfg.cross_zone_cost <= 0.0 || self.kinds.values().any(|k| k.width < 1.0) {
+            return due;
+        }
         let ready = self.peers.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += self.due(p));
         let zones = due.len() as f64;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        let windowed = self.kinds.values().any(|k| k.width < 1.0);
         let bias = |(zone, here): (ZoneId, f64)| {
             let here = here.max(1e-9);
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            (zone, if self.cfg.cross_zone_cost > 0.0 && !windowed { near / here } else { 1.0 })
+            (zone, near / here)
         };
         due.into_iter().map(bias).collect()
     }
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -126,6 +126,14 @@
 }
 
 impl Watch {
+    /// What the next call asks for, the whole list or what is newer than the version held, and how long
+    /// discovery may take over it.
+    fn next_call(&self) -> (String, Duration) {
+        let Some(index) = self.index else { return ("/api/targets".into(), LIST_WAIT) };
+        let wait = if self.mode == Discovery::Push { PUSH_WAIT } else { ASK_WAIT };
+        (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait)
+    }
+
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
@@ -135,13 +143,9 @@
                 self.follow.notified().await;
             }
             let address = *self.address.borrow_and_update();
-            let wait = match self.index {
-                None => LIST_WAIT,
-                Some(_) if pushed => PUSH_WAIT,
-                Some(_) => ASK_WAIT,
-            };
+            let (path, wait) = self.next_call();
             // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, call(address, self.index, &mut line, wait));
+            let call = tokio::time::timeout(wait + GRACE, call(address, &path, &mut line));
             let answer = tokio::select! {
                 biased;
                 Ok(()) = self.address.changed() => {
@@ -178,19 +182,13 @@
     }
 }
 
-/// One call, for the whole list or for what is newer than a version, on the connection held if it still stands.
-async fn call(
-    address: SocketAddr, index: Option<u64>, line: &mut Option<Line>, wait: Duration,
-) -> Result<List, String> {
+/// One call, on the connection held if it still stands.
+async fn call(address: SocketAddr, path: &str, line: &mut Option<Line>) -> Result<List, String> {
     if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
         *line = Some(dial(address).await?);
     }
-    let path = match index {
-        Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
-        None => "/api/targets".into(),
-    };
     match line {
-        Some(line) => ask(line, address, &path).await,
+        Some(line) => ask(line, address, path).await,
         None => Err("no connection".into()),
     }
 }
--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -8,7 +8,8 @@
 const AMENDS: u32 = 10;
 /// Least error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
-/// Spreads of such a share above that of the others from which it is not chance: of 2,000 answers one ejects.
+/// Spreads of such a share above that of the others from which it is not chance: over few answers its tail is
+/// long.
 const ERROR_SPREADS: f64 = 5.0;
 /// Weight of the newest outcome in a backend's error share.
 const ERROR_STEP: f64 = 0.2;
@@ -107,7 +108,7 @@
         self.attempts = attempts;
     }
 
-    /// How much of its part each backend may have; ejections end here whose term is over.
+    /// Each backend's readiness so far as what came back tells it; ejections end here whose term is over.
     pub(crate) fn judge(&mut self, now: Time) {
         let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
         let count = |n: (f64, f64, f64), p: &Peer| {
@@ -120,7 +121,7 @@
                 // It comes back as it is: the next failure ejects it for longer.
                 (p.ejected, p.errors) = (None, 0.0);
             }
-            p.health = match p.ejected {
+            p.ready = match p.ejected {
                 _ if p.entry.state != BackendState::Ready => 0.0,
                 Some(_) => f64::from(ejected > all * PANIC && (!p.unreachable || unreachable == all)),
                 None => 1.0 - p.errors,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -297,7 +297,7 @@
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
             k.idle_weight = k.idle_weight.max(p.entry.weight);
-            p.ready = p.health
+            p.ready = p.ready
                 * warmth(&self.cfg, now, &p.entry, LIKELY_RAMP)
                 * uncrowded(&self.cfg, &p.entry, k.idle_weight);
             k.ready += p.ready;
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,8 +152,6 @@
     pub room: f64,
     /// How many it holds.
     pub out: u32,
-    /// The part of its traffic that it may have for what came back from it.
-    pub health: f64,
     /// Running share of error answers.
     pub errors: f64,
     /// When it last answered anything.
