Let the tests share one reply, one ending of all that is out, one changed configuration

The fake discovery carried out a Reply by a copy of the fake backend's match: both call `Reply::give`. Four tests ended what was out by its backend in loops of their own beside `serve_all`: `Host::end_all` serves all five. Two closures changed a configuration at one place: `changed`. A comment in the pipelining test named a case that stands elsewhere. Every assertion is as it was.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -249,8 +249,14 @@
     /// Serves everything that is out, each after `span`.
     pub fn serve_all(&mut self, span: u64) {
         self.advance(span);
+        self.end_all(|_| Outcome::Ok);
+    }
+
+    /// Ends everything that is out, each as its backend would.
+    pub fn end_all(&mut self, mut outcome: impl FnMut(u32) -> Outcome) {
         for (id, no) in self.out() {
-            self.end(id, no, Outcome::Ok);
+            let backend = self.sent_to(id)[no];
+            self.end(id, no, outcome(backend));
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -300,11 +300,14 @@
     for _ in 0..3_000 {
         let id = host.arrive(0, 900_000);
         host.advance(10_000);
-        for (id, no) in host.out() {
-            let refused = host.sent_to(id)[no] == met;
-            dials += u32::from(refused);
-            host.end(id, no, if refused { Outcome::ConnectFailed } else { Outcome::Ok });
-        }
+        host.end_all(|to| {
+            dials += u32::from(to == met);
+            if to == met {
+                Outcome::ConnectFailed
+            } else {
+                Outcome::Ok
+            }
+        });
         host.serve_all(4_000);
         assert_eq!(host.requests[&id].answer, Some("served"));
     }
@@ -321,15 +324,14 @@
     for i in 0..600 {
         host.arrive(0, 900_000);
         host.advance(10_000);
-        for (id, no) in host.out() {
-            let to = host.sent_to(id)[no];
-            let outcome = [Outcome::ConnectFailed, Outcome::Error, Outcome::Ok][to as usize / 2];
-            dials += u32::from(outcome == Outcome::ConnectFailed);
-            host.end(id, no, outcome);
+        host.end_all(|to| {
             if i >= 300 {
                 late.insert(to);
             }
-        }
+            let outcome = [Outcome::ConnectFailed, Outcome::Error, Outcome::Ok][to as usize / 2];
+            dials += u32::from(outcome == Outcome::ConnectFailed);
+            outcome
+        });
     }
     assert!(dials <= 20, "{dials} dials to two dead backends in 6 s");
     assert!(late.contains(&2) && late.contains(&3), "the others are used: {late:?}");
@@ -337,7 +339,7 @@
     for _ in 0..30 {
         host.arrive(0, 900_000);
         host.advance(10_000);
-        host.out().into_iter().for_each(|(id, no)| host.end(id, no, Outcome::ConnectFailed));
+        host.end_all(|_| Outcome::ConnectFailed);
     }
     assert!(!serve(&mut host, 5, 0, |_| 5_000).is_empty(), "none is tried");
 }
@@ -397,7 +399,7 @@
     // that turned a new one away shut its backend out for a second, and nine requests in ten were shed.
     let mut host = host(Config { proxies: 100, ..Config::example() }, fleet(20));
     serve(&mut host, 60, 0, |_| 10_000);
-    let mut met = std::collections::BTreeSet::new();
+    let mut met = BTreeSet::new();
     for _ in 0..40 {
         // As many as the retry budget stands.
         serve(&mut host, 5, 0, |_| 5_000);
@@ -411,7 +413,7 @@
         assert_eq!(host.requests[&id].answer, Some("served"), "not sent elsewhere");
     }
     assert!(host.logs.iter().all(|l| !l.contains("ejected")), "{:?}", host.logs);
-    let again: std::collections::BTreeSet<_> = serve(&mut host, 200, 0, |_| 5_000).into_iter().collect();
+    let again: BTreeSet<_> = serve(&mut host, 200, 0, |_| 5_000).into_iter().collect();
     assert!(met.is_subset(&again), "shut out for a full table");
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -97,11 +97,7 @@
     assert!(window.len() <= 5, "{window:?}");
     for _ in 0..40 {
         let id = host.arrive(0, 900_000);
-        let out = host.out();
-        for (id, no) in out {
-            let ill = window.contains(host.sent_to(id).last().unwrap());
-            host.end(id, no, if ill { Outcome::ConnectFailed } else { Outcome::Ok });
-        }
+        host.end_all(|to| if window.contains(&to) { Outcome::ConnectFailed } else { Outcome::Ok });
         host.serve_all(20_000);
         if host.requests[&id].tries.len() == 1 && !window.contains(&host.sent_to(id)[0]) {
             return;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -77,7 +77,7 @@
     }
     client.stop_sending();
     assert!(client.answer().is_none_or(|a| a.status() == 400));
-    // A head that never ends in time, and one that is larger than any that is read.
+    // A head that is larger than any that is read.
     let long = read.replace("\r\n\r\n", &format!("\r\nX-Long: {}\r\n\r\n", "x".repeat(1 << 20)));
     let mut client = Client::open(proxy.address);
     client.send(&long);
@@ -387,11 +387,7 @@
         config["settings"]["discovery"] = json!(mode);
         let proxy = Proxy::start(&config);
         until("the watch", || old.calls() > 0);
-        let with = |pointer: &str, value: Value| {
-            let mut bad = config.clone();
-            *bad.pointer_mut(pointer).unwrap() = value;
-            bad.to_string()
-        };
+        let with = |pointer: &str, value: Value| changed(&config, pointer, value).to_string();
         let bad_files = [
             String::new(),
             "no json".into(),
@@ -542,11 +538,7 @@
 fn a_bad_configuration_is_one_line_that_names_the_key() {
     let good = config(refusing_address(), &[]);
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
-    let bad = |pointer: &str, value: Value| {
-        let mut config = good.clone();
-        *config.pointer_mut(pointer).unwrap() = value;
-        config
-    };
+    let bad = |pointer: &str, value: Value| changed(&good, pointer, value);
     let cases = [
         (bad("/listen", json!("nowhere")), "listen: expected an IP address and a port"),
         (bad("/discovery", json!(5)), "discovery: expected text"),
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -60,7 +60,7 @@
     Some(message)
 }
 
-/// What a fake backend does with a request.
+/// What a fake backend or discovery does with a request.
 pub enum Reply {
     /// Writes this and keeps the connection.
     Say(String),
@@ -70,6 +70,22 @@
     Silence,
 }
 
+impl Reply {
+    /// Does it on a connection; false where that is closed then.
+    fn give(self, stream: &mut TcpStream) -> bool {
+        let (text, close) = match self {
+            Reply::Say(text) => (text, false),
+            Reply::SayAndClose(text) => (text, true),
+            Reply::Silence => return true,
+        };
+        let _ = stream.write_all(text.as_bytes());
+        if close {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        !close
+    }
+}
+
 pub fn ok(body: &str) -> Reply {
     Reply::Say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
@@ -107,14 +123,7 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(message) = read_message(&mut reader) {
             seen.requests.lock().unwrap().push(message.clone());
-            let (text, close) = match answer(&message) {
-                Reply::Say(text) => (text, false),
-                Reply::SayAndClose(text) => (text, true),
-                Reply::Silence => continue,
-            };
-            let _ = stream.write_all(text.as_bytes());
-            if close {
-                let _ = stream.shutdown(std::net::Shutdown::Both);
+            if !answer(&message).give(&mut stream) {
                 break;
             }
         }
@@ -180,14 +189,8 @@
                 }
             };
             drop(news);
-            match answer {
-                Reply::Say(text) => drop(stream.write_all(text.as_bytes())),
-                Reply::SayAndClose(text) => {
-                    let _ = stream.write_all(text.as_bytes());
-                    let _ = stream.shutdown(std::net::Shutdown::Both);
-                    return;
-                }
-                Reply::Silence => {}
+            if !answer.give(&mut stream) {
+                return;
             }
         }
     }
@@ -256,6 +259,13 @@
     })
 }
 
+/// The same configuration with another value at one place.
+pub fn changed(config: &Value, pointer: &str, value: Value) -> Value {
+    let mut config = config.clone();
+    *config.pointer_mut(pointer).unwrap() = value;
+    config
+}
+
 /// A running proxy; it is killed with its test.
 pub struct Proxy {
     child: Child,
