Let a request be followed through the debug log by its X-Correlation-Id

What was seen: the debug log named a request only by the proxy's own count ('request 5 attempt 0 goes to backend'). Nothing tied that to what its client sent or the backend got, cancelled and timed-out attempts had no line at all, and the final answer had none.

Lines at fault: driver.rs logged the end of an attempt in one of the four places where one ends; server.rs logged nothing. Now each line of a request bears its id, each attempt's start its address, each end is logged where its event is made, and the last line says how the client was answered, or that it left.

The test follows a served, a failed and an abandoned request through the real binary's log.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -120,6 +120,19 @@
     }
 }
 
+/// The event of an attempt's end, which also stands in the log.
+fn logged(call: &Call, end: AttemptEnd) -> Event {
+    tracing::debug!(
+        "request {} ({}) attempt {} ended {:?} after {} us",
+        end.request.0,
+        call.correlation(),
+        end.attempt.0,
+        end.outcome,
+        end.latency.0
+    );
+    Event::AttemptEnded(end)
+}
+
 /// Idle connections are looked through this often.
 const SWEEP: Micros = Micros(1_000_000);
 /// Ticks after a deadline in which the module may still answer: its timers come a tick late at most.
@@ -257,13 +270,8 @@
         }
         let (outcome, settled) = (ended.outcome, r.reply.is_none());
         let latency = now - sent;
-        tracing::debug!(
-            "request {} attempt {} ended {outcome:?} after {} us",
-            request.0,
-            attempt.0,
-            latency.0
-        );
-        self.events.push(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled }));
+        let end = AttemptEnd { request, attempt, outcome, latency, settled };
+        self.events.push(logged(&r.call, end));
         self.forget(request);
     }
 
@@ -338,7 +346,7 @@
                 task.abort();
                 let (outcome, latency) = (Outcome::TimedOut, now - sent);
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
-                self.events.push(Event::AttemptEnded(end));
+                self.events.push(logged(&r.call, end));
             }
             if !settled {
                 self.overdue.push_back((at + Micros(GRACE_TICKS * self.config.tick.0), request));
@@ -434,7 +442,7 @@
                 task.abort();
                 let (outcome, latency, settled) = (Outcome::Cancelled, now - sent, r.reply.is_none());
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
-                self.events.push(Event::AttemptEnded(end));
+                self.events.push(logged(&r.call, end));
                 self.forget(request);
             }
             Action::SetTimer { token, after } => self.timers.push(Reverse((now + after, token))),
@@ -453,7 +461,7 @@
             // Answered meanwhile, or no such backend any more.
             let (outcome, latency, settled) = (Outcome::NeverSent, Micros(0), r.reply.is_none());
             let end = AttemptEnd { request, attempt, outcome, latency, settled };
-            self.events.push(Event::AttemptEnded(end));
+            self.events.push(logged(&r.call, end));
             return;
         };
         if self.pool.is_full() {
@@ -462,7 +470,14 @@
                 tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
             }
         }
-        tracing::debug!("request {} attempt {} goes to backend {}", request.0, attempt.0, backend.0);
+        tracing::debug!(
+            "request {} ({}) attempt {} goes to backend {} at {}",
+            request.0,
+            r.call.correlation(),
+            attempt.0,
+            backend.0,
+            upstream.target.address
+        );
         let (call, deadline) = (r.call.clone(), r.deadline);
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
-use crate::upstream::{strip, Call, BODY_BYTES, TIME_LEFT};
+use crate::upstream::{strip, Call, BODY_BYTES, CORRELATION, TIME_LEFT};
 use beechworks::settings::Names;
 use beechworks::{Class, Effect, Micros, RequestId, Time};
 use bytes::Bytes;
@@ -26,7 +26,6 @@
 const TENANT: HeaderName = HeaderName::from_static("x-account");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const HINT: HeaderName = HeaderName::from_static("x-weight-hint");
-const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// After SIGTERM new connections still come for a while; so long they are accepted.
@@ -80,13 +79,24 @@
 /// A request of which the driver knows; dropped before it is answered, its client has gone.
 struct Ticket<'a> {
     id: RequestId,
+    call: Rc<Call>,
+    came: Time,
     server: &'a Server,
     answered: bool,
 }
 
+impl Ticket<'_> {
+    /// The last line of a request in the log.
+    fn log_end(&self, how: &str) {
+        let after = self.server.clock.now() - self.came;
+        tracing::debug!("request {} ({}) {how} after {} us", self.id.0, self.call.correlation(), after.0);
+    }
+}
+
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
         if !self.answered {
+            self.log_end("left by its client");
             let _ = self.server.inputs.send(Input::Left(self.id));
         }
     }
@@ -220,6 +230,9 @@
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
         let id = RequestId(self.number());
+        let call = Rc::new(Call { head: sent, body });
+        let mut ticket = Ticket { id, call: call.clone(), came, server: self, answered: false };
+        tracing::debug!("request {} ({}) came with {} us left", id.0, call.correlation(), form.time_left.0);
         let arrived = Input::Arrived(Arrived {
             id,
             class: form.class,
@@ -227,22 +240,28 @@
             deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
             work_hint: form.work_hint,
             repeat: form.repeat,
-            call: Rc::new(Call { head: sent, body }),
+            call,
             reply,
         });
         let _ = self.inputs.send(arrived);
-        let mut ticket = Ticket { id, server: self, answered: false };
         let answer = answer.await;
         ticket.answered = true;
         match answer {
-            Ok(Answer::Served(answer)) => answer.map(Full::new),
+            Ok(Answer::Served(answer)) => {
+                ticket.log_end("served");
+                answer.map(Full::new)
+            }
             Ok(Answer::Refused(after)) => {
+                ticket.log_end("refused");
                 let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
                 let whole = after.0.div_ceil(1_000_000); // whole seconds: not every client reads decimals
                 answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(whole));
                 answer
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Ok(Answer::Failed) | Err(_) => {
+                ticket.log_end("failed");
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
         }
     }
 
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -22,6 +22,7 @@
 /// The most that a body holds, either way.
 pub const BODY_BYTES: usize = 64 << 10;
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 /// Part of the backend's own limit after which an idle connection is closed from this side: a request
 /// written while the backend closes it would end as a reset.
@@ -36,6 +37,13 @@
     pub body: Bytes,
 }
 
+impl Call {
+    /// The id under which all parties know the request, for the log: what is not plain text is not repeated.
+    pub fn correlation(&self) -> &str {
+        self.head.headers().get(&CORRELATION).and_then(|v| v.to_str().ok()).unwrap_or("-")
+    }
+}
+
 /// How an attempt ended, with the answer if it was served.
 pub struct Ended {
     pub outcome: Outcome,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -29,6 +29,35 @@
     assert!(left < 7000, "the time left is the proxy's own: {left}");
 }
 
+/// The log of one request, by the id that its client gave it: as it came, each attempt, its end.
+#[test]
+fn a_request_can_be_followed_through_the_log_by_its_correlation_id() {
+    let backend = Backend::start(|m| if m.start.contains("/pay/") { Reply::Silence } else { ok("x") });
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let as_client = |class: &str, left_ms: u64, id: &str| {
+        let text = request(class, left_ms).replace("9b1f03aa5c7e2d41", id);
+        ask(&proxy, &text).status()
+    };
+    let lines = |id: &str| -> Vec<String> {
+        let of_it = |l: &str| l.split_once(&format!("({id}) ")).map(|l| l.1.to_string());
+        proxy.log().lines().filter_map(of_it).collect()
+    };
+    let to = format!("at {}", backend.address);
+    let cases = [("read", 7000, 200, "11aa", "served"), ("pay", 300, 502, "22bb", "failed")];
+    for (class, left_ms, status, id, end) in cases {
+        assert_eq!(as_client(class, left_ms, id), status, "{class}");
+        let parts = ["came with", &to, "attempt 0 ended", end];
+        until("its last line", || lines(id).len() == parts.len());
+        let told = lines(id);
+        assert!(parts.iter().all(|part| told.iter().any(|line| line.contains(part))), "{class}: {told:?}");
+    }
+    let mut leaver = Client::open(proxy.address);
+    leaver.send(&request("pay", 7000).replace("9b1f03aa5c7e2d41", "33cc"));
+    until("the attempt", || lines("33cc").len() == 2);
+    drop(leaver);
+    until("its end", || lines("33cc").iter().any(|l| l.starts_with("left by its client")));
+}
+
 #[test]
 fn malformed_requests_reach_no_backend_and_leave_the_proxy_alive() {
     let backend = Backend::start(|_| ok("x"));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -312,6 +312,7 @@
         let mut child = Command::new("sh")
             .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_gaugesaddle")])
             .env("BALANCER_CONFIG", &file)
+            .env("GAUGESADDLE_LOG", "debug")
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
