Swallow a wish to follow that comes while a call is out, so that refused calls wait

Ruled out: the module's draw is even and seeded (a histogram in tests/fleet.rs asserts it).

Lines at fault: discovery.rs, run: the module repeats its wish while it hears nothing; Notify keeps it as a permit while a call is out, and the loop takes it as soon as that call fails, before the module has set its wait. Now the wish is taken while the call runs: that call is what it asks for.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -134,6 +134,29 @@
         (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait)
     }
 
+    /// Makes the next call and waits for what comes of it.
+    async fn next(&mut self, line: &mut Option<Line>) -> Heard {
+        let address = *self.address.borrow_and_update();
+        let (path, wait) = self.next_call();
+        // An agent that never answers must not hold the watch: every call has its time.
+        let call = tokio::time::timeout(wait + GRACE, call(address, &path, line));
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                biased;
+                Ok(()) = self.address.changed() => return Heard::Moved,
+                answer = &mut call => return match answer {
+                    Ok(Ok(list)) => Heard::Told(list),
+                    Ok(Err(text)) => Heard::Failed(text),
+                    Err(_) => Heard::Failed("no answer in time".into()),
+                },
+                // The call asked for is this one. Kept, the wish would call again as soon as this one fails,
+                // however long the module then wants to wait.
+                () = self.follow.notified() => {}
+            }
+        }
+    }
+
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
@@ -142,46 +165,50 @@
             if !watching {
                 self.follow.notified().await;
             }
-            let address = *self.address.borrow_and_update();
-            let (path, wait) = self.next_call();
-            // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, call(address, &path, &mut line));
-            let answer = tokio::select! {
-                biased;
-                Ok(()) = self.address.changed() => {
+            let heard = self.next(&mut line).await;
+            if !matches!(heard, Heard::Told(_)) {
+                line = None;
+            }
+            let text = match heard {
+                Heard::Moved => {
                     // The list goes on at the new address, from the whole of it: the old one may have told less.
-                    (line, self.index, watching) = (None, None, true);
+                    (self.index, watching) = (None, true);
                     continue;
                 }
-                answer = call => answer,
-            };
-            match answer.unwrap_or_else(|_| Err("no answer in time".into())) {
-                Ok(list) => {
+                Heard::Told(list) => {
                     (watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
                         let _ = self.inputs.send(Input::List(update, list.targets));
                     }
+                    continue;
                 }
-                Err(text) => {
-                    // The list held stays in force.
-                    line = None;
-                    tracing::warn!("discovery: {text}");
-                    if pushed {
-                        // An agent that starts again may count from anew; the whole list costs it nothing.
-                        self.index = None;
-                        tokio::time::sleep(backoff).await;
-                        backoff = (backoff * 2).min(BACKOFF.1);
-                    } else {
-                        watching = false;
-                        let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
-                    }
-                }
+                Heard::Failed(text) => text,
+            };
+            // The list held stays in force.
+            tracing::warn!("discovery: {text}");
+            if pushed {
+                // An agent that starts again may count from anew; the whole list costs it nothing.
+                self.index = None;
+                tokio::time::sleep(backoff).await;
+                backoff = (backoff * 2).min(BACKOFF.1);
+            } else {
+                watching = false;
+                let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
             }
         }
     }
 }
 
+/// What came of a call.
+enum Heard {
+    Told(List),
+    /// Discovery refused, broke off, said what is no list, or nothing in time.
+    Failed(String),
+    /// Discovery has moved meanwhile.
+    Moved,
+}
+
 /// One call, on the connection held if it still stands.
 async fn call(address: SocketAddr, path: &str, line: &mut Option<Line>) -> Result<List, String> {
     if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
@@ -192,3 +219,54 @@
         None => Err("no connection".into()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::rc::Rc;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    /// A watch in a fleet that asks, on this address, with what the module would see and say.
+    fn watching(at: SocketAddr) -> (mpsc::UnboundedReceiver<Input>, Rc<Notify>) {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let follow = Rc::new(Notify::new());
+        let watch = Watch {
+            address: watch::channel(at).1,
+            mode: Discovery::Subscribe(beechworks::Micros(10_000_000)),
+            index: Some(1),
+            follow: follow.clone(),
+            inputs: sender,
+        };
+        tokio::task::spawn_local(watch.run());
+        (inputs, follow)
+    }
+
+    async fn lost(inputs: &mut mpsc::UnboundedReceiver<Input>) {
+        assert!(matches!(inputs.recv().await, Some(Input::List(ListUpdate::Lost, _))));
+    }
+
+    /// The module repeats its wish while a call is out. Kept until that failed, the wish called again at once,
+    /// past the wait that spreads the calls of a fleet.
+    #[tokio::test]
+    async fn a_wish_repeated_while_a_call_is_out_is_not_kept_for_after_it() {
+        let scene = async {
+            let service = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (mut inputs, follow) = watching(service.local_addr().expect("an address"));
+            follow.notify_one();
+            let (caller, _) = service.accept().await.expect("the first call");
+            while caller.try_read(&mut [0; 1024]).is_err() {
+                caller.readable().await.expect("its head");
+            }
+            follow.notify_one();
+            tokio::task::yield_now().await;
+            caller.try_write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").expect("sent");
+            lost(&mut inputs).await;
+            let early = tokio::time::timeout(Duration::from_millis(200), service.accept()).await;
+            assert!(early.is_err(), "called again before the module asked");
+            follow.notify_one();
+            service.accept().await.expect("the call that it asked for");
+        };
+        LocalSet::new().run_until(scene).await;
+    }
+}
