Give up a connection to discovery that is not up within the dial time

What was checked: a dial to discovery had no time of its own. The unit test, a listener with a full queue, shows it: without the change the call still waits after 20 s.

Lines at fault: discovery.rs, call, whose dial counted against the wait for news. A failed dial is a loss like any other and waits its random time.

Ruled out as harm: an overbooked discovery that were slow to accept would now fail dials.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -118,6 +118,8 @@
     /// It may move while the proxy runs.
     pub address: watch::Receiver<SocketAddr>,
     pub mode: Discovery,
+    /// A connection that is not up after this time does not come up.
+    pub dial_timeout: Duration,
     /// The version last had.
     pub index: Option<u64>,
     /// The module asks for changes; a pushed list is watched unasked.
@@ -139,7 +141,7 @@
         let address = *self.address.borrow_and_update();
         let (path, wait) = self.next_call();
         // An agent that never answers must not hold the watch: every call has its time.
-        let call = tokio::time::timeout(wait + GRACE, call(address, &path, line));
+        let call = tokio::time::timeout(wait + GRACE, call(address, self.dial_timeout, &path, line));
         tokio::pin!(call);
         loop {
             tokio::select! {
@@ -219,9 +221,13 @@
 }
 
 /// One call, on the connection held if it still stands.
-async fn call(address: SocketAddr, path: &str, line: &mut Option<Line>) -> Result<List, String> {
+async fn call(
+    address: SocketAddr, dial_timeout: Duration, path: &str, line: &mut Option<Line>,
+) -> Result<List, String> {
     if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
-        *line = Some(dial(address).await?);
+        // Where the way is cut no connection comes up: the time for an answer is not for waiting on that.
+        let dialled = tokio::time::timeout(dial_timeout, dial(address)).await;
+        *line = Some(dialled.map_err(|_| "no connection in time")??);
     }
     match line {
         Some(line) => ask(line, address, path).await,
@@ -233,7 +239,7 @@
 mod tests {
     use super::*;
     use std::rc::Rc;
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpSocket};
     use tokio::task::LocalSet;
 
     /// A watch in a fleet that asks, on this address, with what the module would see and say.
@@ -243,6 +249,7 @@
         let watch = Watch {
             address: watch::channel(at).1,
             mode: Discovery::Subscribe(beechworks::Micros(10_000_000)),
+            dial_timeout: Duration::from_millis(100),
             index: Some(1),
             follow: follow.clone(),
             inputs: sender,
@@ -278,4 +285,25 @@
         };
         LocalSet::new().run_until(scene).await;
     }
+
+    /// Where the way is cut no connection comes up; the wait for one was as long as that for news, 21.5 s.
+    #[tokio::test]
+    async fn a_connection_that_does_not_come_up_fails_the_call_soon() {
+        let scene = async {
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+            let service = socket.listen(1).expect("a short queue");
+            let at = service.local_addr().expect("an address");
+            let mut queued = Vec::new();
+            let full = Duration::from_millis(100);
+            while let Ok(taken) = tokio::time::timeout(full, TcpStream::connect(at)).await {
+                queued.push(taken.expect("a place in the queue"));
+            }
+            let (mut inputs, follow) = watching(at);
+            follow.notify_one();
+            let soon = tokio::time::timeout(ASK_WAIT, lost(&mut inputs)).await;
+            assert!(soon.is_ok(), "the call still waits for its connection");
+        };
+        LocalSet::new().run_until(scene).await;
+    }
 }
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -74,6 +74,7 @@
     let watch = discovery::Watch {
         address,
         mode: config.module.discovery,
+        dial_timeout: clock::duration(config.dial_timeout),
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
         inputs: sender.clone(),
