Let a move of discovery end the wait after a refused call

What was checked, by reading and by the unit test: after a refused call the watch waits for the module's wish, up to 5 s in a fleet of 300, and did not look at the address meanwhile. A SIGHUP in that time, likely just then as operators move a discovery that refuses calls, was seen only after the wait. Then the move was taken for seen, and the new service was asked for what is newer than a version of the old one.

Ruled out: the same while a call is out (it ends at the move, tested before) and in the pause of a pushed list (1 s at most, and it forgets the version first).

Lines at fault: discovery.rs, run, which awaited the wish alone. It awaits the move beside it now.

The test fails without the change: no call at the new address within 4 s.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -165,7 +165,12 @@
         let (mut line, mut backoff, mut watching, mut silent) = (None, BACKOFF.0, pushed, false);
         loop {
             if !watching {
-                self.follow.notified().await;
+                tokio::select! {
+                    biased;
+                    // The wait was for the old service: the new one is asked at once, and for the whole list.
+                    Ok(()) = self.address.changed() => self.index = None,
+                    () = self.follow.notified() => {}
+                }
             }
             let heard = self.next(&mut line).await;
             if !matches!(heard, Heard::Told(_)) {
@@ -243,11 +248,12 @@
     use tokio::task::LocalSet;
 
     /// A watch in a fleet that asks, on this address, with what the module would see and say.
-    fn watching(at: SocketAddr) -> (mpsc::UnboundedReceiver<Input>, Rc<Notify>) {
+    fn watching(at: SocketAddr) -> (watch::Sender<SocketAddr>, mpsc::UnboundedReceiver<Input>, Rc<Notify>) {
         let (sender, inputs) = mpsc::unbounded_channel();
+        let (moved, address) = watch::channel(at);
         let follow = Rc::new(Notify::new());
         let watch = Watch {
-            address: watch::channel(at).1,
+            address,
             mode: Discovery::Subscribe(beechworks::Micros(10_000_000)),
             dial_timeout: Duration::from_millis(100),
             index: Some(1),
@@ -255,7 +261,23 @@
             inputs: sender,
         };
         tokio::task::spawn_local(watch.run());
-        (inputs, follow)
+        (moved, inputs, follow)
+    }
+
+    /// The next call at this service, and its head.
+    async fn called(service: &TcpListener) -> (TcpStream, String) {
+        let (caller, _) = service.accept().await.expect("a call");
+        let mut head = [0; 1024];
+        loop {
+            match caller.try_read(&mut head) {
+                Ok(n) => return (caller, String::from_utf8_lossy(&head[..n]).into_owned()),
+                Err(_) => caller.readable().await.expect("its head"),
+            }
+        }
+    }
+
+    fn refuse(caller: &TcpStream) {
+        caller.try_write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").expect("sent");
     }
 
     async fn lost(inputs: &mut mpsc::UnboundedReceiver<Input>) {
@@ -268,15 +290,12 @@
     async fn a_wish_repeated_while_a_call_is_out_is_not_kept_for_after_it() {
         let scene = async {
             let service = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let (mut inputs, follow) = watching(service.local_addr().expect("an address"));
+            let (_moved, mut inputs, follow) = watching(service.local_addr().expect("an address"));
             follow.notify_one();
-            let (caller, _) = service.accept().await.expect("the first call");
-            while caller.try_read(&mut [0; 1024]).is_err() {
-                caller.readable().await.expect("its head");
-            }
+            let (caller, _) = called(&service).await;
             follow.notify_one();
             tokio::task::yield_now().await;
-            caller.try_write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").expect("sent");
+            refuse(&caller);
             lost(&mut inputs).await;
             let early = tokio::time::timeout(Duration::from_millis(200), service.accept()).await;
             assert!(early.is_err(), "called again before the module asked");
@@ -286,6 +305,27 @@
         LocalSet::new().run_until(scene).await;
     }
 
+    /// Discovery is moved most likely when it refuses calls: the wait after one must not outlast the move, for
+    /// what the new service reports counts as reported 4 s after the signal.
+    #[tokio::test]
+    async fn a_move_ends_the_wait_after_a_refused_call_and_asks_for_the_whole_list() {
+        let scene = async {
+            let old = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let new = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (moved, mut inputs, follow) = watching(old.local_addr().expect("an address"));
+            follow.notify_one();
+            let (caller, head) = called(&old).await;
+            assert!(head.starts_with("GET /api/targets?after=1&"), "{head}");
+            refuse(&caller);
+            lost(&mut inputs).await;
+            moved.send(new.local_addr().expect("an address")).expect("still watched");
+            let soon = tokio::time::timeout(Duration::from_secs(4), called(&new)).await;
+            let (_caller, head) = soon.expect("a call within the 4 s");
+            assert!(head.starts_with("GET /api/targets HTTP"), "{head}");
+        };
+        LocalSet::new().run_until(scene).await;
+    }
+
     /// Where the way is cut no connection comes up; the wait for one was as long as that for news, 21.5 s.
     #[tokio::test]
     async fn a_connection_that_does_not_come_up_fails_the_call_soon() {
@@ -299,7 +339,7 @@
             while let Ok(taken) = tokio::time::timeout(full, TcpStream::connect(at)).await {
                 queued.push(taken.expect("a place in the queue"));
             }
-            let (mut inputs, follow) = watching(at);
+            let (_moved, mut inputs, follow) = watching(at);
             follow.notify_one();
             let soon = tokio::time::timeout(ASK_WAIT, lost(&mut inputs)).await;
             assert!(soon.is_ok(), "the call still waits for its connection");
