Ask a discovery that was moved to once more at once when it refuses the first call

Lines at fault: discovery.rs, run, which after a move treated a refusal like any other.

The test fails without the change.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -162,13 +162,14 @@
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
-        let (mut line, mut backoff, mut watching, mut silent) = (None, BACKOFF.0, pushed, false);
+        let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
+        let (mut moved, mut silent) = (false, false);
         loop {
             if !watching {
                 tokio::select! {
                     biased;
                     // The wait was for the old service: the new one is asked at once, and for the whole list.
-                    Ok(()) = self.address.changed() => self.index = None,
+                    Ok(()) = self.address.changed() => (self.index, moved) = (None, true),
                     () = self.follow.notified() => {}
                 }
             }
@@ -176,8 +177,8 @@
             if !matches!(heard, Heard::Told(_)) {
                 line = None;
             }
-            let again = !pushed && !silent;
-            silent = matches!(heard, Heard::Silence);
+            let (was_moved, was_silent) = (moved, silent);
+            (moved, silent) = (matches!(heard, Heard::Moved), matches!(heard, Heard::Silence));
             let text = match heard {
                 Heard::Moved => {
                     // The list goes on at the new address, from the whole of it: the old one may have told less.
@@ -202,9 +203,10 @@
                 self.index = None;
                 tokio::time::sleep(backoff).await;
                 backoff = (backoff * 2).min(BACKOFF.1);
-            } else if silent && again {
-                // A way that fell silent tells of no service with too many callers, and what that had to say
-                // counts as told in half a second: it is asked again at once, on a new connection.
+            } else if was_moved || (silent && !was_silent) {
+                // Asked again at once, on a new connection, but not over and over. Silence tells of no
+                // service with too many callers, and what that had to say counts as told in half a second;
+                // after a move a wait for a turn would outlast the time in which the list has to come.
                 watching = true;
             } else {
                 watching = false;
@@ -320,8 +322,13 @@
             lost(&mut inputs).await;
             moved.send(new.local_addr().expect("an address")).expect("still watched");
             let soon = tokio::time::timeout(Duration::from_secs(4), called(&new)).await;
-            let (_caller, head) = soon.expect("a call within the 4 s");
+            let (caller, head) = soon.expect("a call within the 4 s");
             assert!(head.starts_with("GET /api/targets HTTP"), "{head}");
+            // Refused there too, it is asked once more before the fleet's wait.
+            refuse(&caller);
+            let again = tokio::time::timeout(Duration::from_secs(4), called(&new)).await;
+            refuse(&again.expect("a second call").0);
+            lost(&mut inputs).await;
         };
         LocalSet::new().run_until(scene).await;
     }
