Handle a move of discovery in one place, and read no clock for a log that is off

A clean-up after re-reading the change; behaviour and tests as they were.

run reset the version held in two places, once for a move while a call is out and once for a move during the wait for the module's wish. The wait tells the same Moved now, and one arm acts on it. The last log line of a request read the clock before it was known whether the line is wanted; the reading is an argument of the line now.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -159,21 +159,23 @@
         }
     }
 
+    /// Waits until the module wishes for a call; false where discovery has moved first, which ends the wait.
+    async fn wished(&mut self) -> bool {
+        tokio::select! {
+            biased;
+            Ok(()) = self.address.changed() => false,
+            () = self.follow.notified() => true,
+        }
+    }
+
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
         let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
         let (mut moved, mut silent) = (false, false);
         loop {
-            if !watching {
-                tokio::select! {
-                    biased;
-                    // The wait was for the old service: the new one is asked at once, and for the whole list.
-                    Ok(()) = self.address.changed() => (self.index, moved) = (None, true),
-                    () = self.follow.notified() => {}
-                }
-            }
-            let heard = self.next(&mut line).await;
+            let heard =
+                if watching || self.wished().await { self.next(&mut line).await } else { Heard::Moved };
             if !matches!(heard, Heard::Told(_)) {
                 line = None;
             }
@@ -181,7 +183,8 @@
             (moved, silent) = (matches!(heard, Heard::Moved), matches!(heard, Heard::Silence));
             let text = match heard {
                 Heard::Moved => {
-                    // The list goes on at the new address, from the whole of it: the old one may have told less.
+                    // The list goes on at the new address, at once and from the whole of it: the old one may have
+                    // told less.
                     (self.index, watching) = (None, true);
                     continue;
                 }
@@ -223,7 +226,7 @@
     Failed(String),
     /// Nothing in its time.
     Silence,
-    /// Discovery has moved meanwhile.
+    /// Discovery has moved meanwhile, or while no call was out.
     Moved,
 }
 
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -88,8 +88,12 @@
 impl Ticket<'_> {
     /// The last line of a request in the log.
     fn log_end(&self, how: &str) {
-        let after = self.server.clock.now() - self.came;
-        tracing::debug!("request {} ({}) {how} after {} us", self.id.0, self.call.correlation(), after.0);
+        tracing::debug!(
+            "request {} ({}) {how} after {} us",
+            self.id.0,
+            self.call.correlation(),
+            (self.server.clock.now() - self.came).0
+        );
     }
 }
 
