Spread the waits of a fleet's watches, so that missed ones do not all call at once

21.535 discovery: no answer in time / call /api/targets?after=0&wait_ms=20000 21.834, 22.124, 22.413, 22.703, 22.992, 23.282 told version 1 lines 3 (one for each proxy)

The service takes 0.29 s over a call and takes them one after another; what was missed counts as told 2 s after the wait, at 22.03 s, and the limit of 1 s and 50 ms is over at 23.08 s: the last in the queue comes too late.

Ruled out: a second silence (each second call was answered), a send to a drained backend after its list had come (none in the logs), the module's wait after a loss (no call was refused, so it was never asked for). A shorter grace would move the same queue by a second and leave it as long as the fleet is large.

At fault: discovery.rs, next_call, which gave every proxy the same wait; news answers all watches at one moment, so that equal waits keep a fleet in step for ever. The waits now lie evenly between 10 s and 20 s by the proxy's place.

Pushed lists are not touched: each agent serves one proxy. Lists that are asked for are, at every start, after each answer and after a move. Calls for the whole list carry no wait and are spread by the module after a loss, as before.

The test fails without the change: all four proxies wait 20,000 ms.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -32,8 +32,12 @@
 
 /// A pushed list costs its agent nothing: short waits notice one that fell silent.
 const PUSH_WAIT: Duration = Duration::from_secs(4);
-/// Where all proxies ask one service, each call costs it work.
+/// Where all proxies ask one service, each call costs it work: the longest wait, and the part of it over which
+/// the proxies of a fleet spread theirs. News answers all of them at once, so all call again at once; were their
+/// waits alike, all would miss a watch that fell silent at the same moment too, and their calls stand in one queue
+/// longer than the time in which what was missed counts as told.
 const ASK_WAIT: Duration = Duration::from_secs(20);
+const ASK_SPREAD: f64 = 0.5;
 /// The whole list waits for no news, only for its turn in the service's queue. What it tells counts as told 4 s
 /// after a signal to reload, 6 s after any other call: silence has to show before that.
 const LIST_WAIT: Duration = Duration::from_secs(2);
@@ -122,6 +126,8 @@
     pub dial_timeout: Duration,
     /// The version last had.
     pub index: Option<u64>,
+    /// This proxy's place in its fleet, from 0 up to 1.
+    pub place: f64,
     /// The module asks for changes; a pushed list is watched unasked.
     pub follow: std::rc::Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
@@ -132,7 +138,10 @@
     /// discovery may take over it.
     fn next_call(&self) -> (String, Duration) {
         let Some(index) = self.index else { return ("/api/targets".into(), LIST_WAIT) };
-        let wait = if self.mode == Discovery::Push { PUSH_WAIT } else { ASK_WAIT };
+        let wait = match self.mode {
+            Discovery::Push => PUSH_WAIT,
+            Discovery::Subscribe(_) => ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * self.place),
+        };
         (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait)
     }
 
@@ -262,6 +271,7 @@
             mode: Discovery::Subscribe(beechworks::Micros(10_000_000)),
             dial_timeout: Duration::from_millis(100),
             index: Some(1),
+            place: 0.0,
             follow: follow.clone(),
             inputs: sender,
         };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -405,6 +405,31 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// A watch that fell silent is missed once its wait is over. All proxies of a fleet begin theirs at one moment, when
+/// they start or when news comes; each call costs the service some tenths of a second, and the last in the queue
+/// hears of a drain too late where all waits end together.
+#[test]
+fn the_proxies_of_a_fleet_do_not_all_wait_equally_long_for_news() {
+    const PROXIES: u64 = 4;
+    let waits: Vec<u64> = (0..PROXIES)
+        .map(|position| {
+            let discovery = Discovery::start();
+            let mut config = config(discovery.address, &[line("a", refusing_address(), "ready", 0)]);
+            config["settings"]["discovery"] = json!("subscribe");
+            config["settings"]["group_size"] = json!(PROXIES);
+            config["settings"]["position"] = json!(position);
+            let _proxy = Proxy::spawn(&config);
+            until("its watch", || discovery.calls() == 1);
+            let call = discovery.asked().remove(0);
+            let wait = call.split_once("wait_ms=").expect("a watch").1;
+            wait.split(' ').next().unwrap().parse().expect("milliseconds")
+        })
+        .collect();
+    assert!(waits.iter().all(|w| (8_000..=20_000).contains(w)), "{waits:?}");
+    let apart = waits.windows(2).all(|w| w[0].abs_diff(w[1]) >= 2_000);
+    assert!(apart, "{waits:?}");
+}
+
 /// Weeks of releases: tens of thousands of backends come and go, each release of machines never seen before.
 #[test]
 fn memory_stays_flat_while_backends_and_kinds_come_and_go() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -159,7 +159,8 @@
 pub struct Discovery {
     pub address: SocketAddr,
     news: Arc<(Mutex<News>, Condvar)>,
-    calls: Arc<Mutex<usize>>,
+    /// The first lines of all calls so far.
+    calls: Arc<Mutex<Vec<String>>>,
 }
 
 impl Discovery {
@@ -179,8 +180,8 @@
 
     fn converse(&self, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while read_message(&mut reader).is_some() {
-            *self.calls.lock().unwrap() += 1;
+        while let Some(call) = read_message(&mut reader) {
+            self.calls.lock().unwrap().push(call.start);
             let mut news = self.news.0.lock().unwrap();
             let answer = loop {
                 match news.answer.take() {
@@ -217,7 +218,12 @@
     }
 
     pub fn calls(&self) -> usize {
-        *self.calls.lock().unwrap()
+        self.asked().len()
+    }
+
+    /// The first lines of all calls so far.
+    pub fn asked(&self) -> Vec<String> {
+        self.calls.lock().unwrap().clone()
     }
 }
 
