Read a client's socket ahead while its request is in hand, so that its leaving shows

A request whose client has left is not to be sent on 0.3 s later.

At fault: server.rs left the socket to hyper, which while a request is in hand reads only as long as its buffer is empty (its mid-message check for the end returns at once otherwise). Whatever came beyond the request (half a head, a second request, a megabyte) hides FIN and RST behind it.

Ruled out: FIN and RST with nothing sent beyond (found at once before, the first case of the test), a body still being read (hyper reads then, and nothing has reached the driver), a left request among the module's held ones (it is dropped from them at its turn).

Now the connection's task reads ahead while a request waits for its answer, into 128 KiB at most; of a peer that sends more the rest is dropped and the connection closed after the answer. Without the change the test waits 30 s for the attempt's end in vain. It plays leaving with an attempt out and with twenty requests held, after nothing, half a head, a whole request, 8 KiB and 1 MiB.

--- /dev/null
+++ b/src/bin/gaugesaddle/inbound.rs
@@ -0,0 +1,97 @@
+//! A client's socket. While a request is in hand hyper reads no further than the next byte, so that what a client
+//! has sent beyond it hides that the client has left: the socket is then read ahead from here.
+
+use crate::upstream::BODY_BYTES;
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What is kept of that: clients send one request at a time, and more than the largest body at once is no request
+/// of theirs. The rest is read, for the end behind it, and dropped.
+const AHEAD_BYTES: usize = 2 * BODY_BYTES;
+const CHUNK: usize = 4096;
+
+struct Socket {
+    io: TokioIo<TcpStream>,
+    ahead: BytesMut,
+    /// More was sent than is kept: what comes after that cannot be told.
+    cut: bool,
+}
+
+impl Socket {
+    fn keep(&mut self, bytes: &[u8]) {
+        self.cut |= self.ahead.len() + bytes.len() > AHEAD_BYTES;
+        if !self.cut {
+            self.ahead.extend_from_slice(bytes);
+        }
+    }
+}
+
+/// The socket as hyper holds it and as the connection's own task does.
+#[derive(Clone)]
+pub struct Inbound(Rc<RefCell<Socket>>);
+
+impl Inbound {
+    pub fn new(stream: TcpStream) -> Inbound {
+        Inbound(Rc::new(RefCell::new(Socket {
+            io: TokioIo::new(stream),
+            ahead: BytesMut::new(),
+            cut: false,
+        })))
+    }
+
+    /// Ready once the client has closed or reset the connection, whatever it had sent before that.
+    pub fn poll_left(&self, cx: &mut Context) -> Poll<()> {
+        let socket = &mut *self.0.borrow_mut();
+        loop {
+            let mut chunk = [0; CHUNK];
+            let mut read = ReadBuf::new(&mut chunk);
+            let ended = ready!(Pin::new(socket.io.inner_mut()).poll_read(cx, &mut read)).is_err();
+            if ended || read.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            socket.keep(read.filled());
+        }
+    }
+}
+
+impl Read for Inbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let socket = &mut *self.0.borrow_mut();
+        if socket.ahead.is_empty() && !socket.cut {
+            return Pin::new(&mut socket.io).poll_read(cx, buf);
+        }
+        // Cut off, it ends here for hyper, which closes the connection after the answer in hand.
+        let some = socket.ahead.len().min(buf.remaining());
+        buf.put_slice(&socket.ahead[..some]);
+        socket.ahead.advance(some);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Inbound {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().io).poll_write(cx, buf)
+    }
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().io).poll_write_vectored(cx, bufs)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().io.is_write_vectored()
+    }
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().io).poll_flush(cx)
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().io).poll_shutdown(cx)
+    }
+}
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod inbound;
 mod server;
 mod upstream;
 
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
+use crate::inbound::Inbound;
 use crate::upstream::{strip, Call, BODY_BYTES, CORRELATION, TIME_LEFT};
 use beechworks::settings::Names;
 use beechworks::{Class, Effect, Micros, RequestId, Time};
@@ -12,12 +13,13 @@
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -66,6 +68,8 @@
     /// may be on the way, and ending the connection would lose it.
     idle: Cell<Option<Time>>,
     told: Cell<bool>,
+    /// A request of it was read whole and waits for its answer.
+    waiting: Cell<bool>,
     close: Notify,
 }
 
@@ -167,17 +171,23 @@
             let service = hyper::service::service_fn(|request| self.handle(request, &link));
             let mut http = http1::Builder::new();
             http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-            let connection = http.serve_connection(TokioIo::new(stream), service);
+            let socket = Inbound::new(stream);
+            let connection = http.serve_connection(socket.clone(), service);
             tokio::pin!(connection);
-            let ended = loop {
+            let left = poll_fn(|cx| if link.waiting.get() { socket.poll_left(cx) } else { Poll::Pending });
+            tokio::pin!(left);
+            loop {
                 tokio::select! {
                     biased;
-                    ended = connection.as_mut() => break ended,
+                    ended = connection.as_mut() => {
+                        if let Err(e) = ended {
+                            tracing::debug!("client connection: {e}");
+                        }
+                        break;
+                    }
                     () = link.close.notified() => connection.as_mut().graceful_shutdown(),
+                    () = &mut left => break,
                 }
-            };
-            if let Err(e) = ended {
-                tracing::debug!("client connection: {e}");
             }
         });
     }
@@ -191,7 +201,7 @@
         &self, request: Request<Incoming>, link: &Link,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         link.idle.set(None);
-        let mut answer = self.answer(request).await;
+        let mut answer = self.answer(request, link).await;
         link.idle.set(Some(self.clock.now()));
         if self.stopping.get() || self.links.borrow().len() >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -199,7 +209,7 @@
         Ok(answer)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, link: &Link) -> Response<Full<Bytes>> {
         if request.uri().path() == "/-/ready" {
             let ready = self.status.serving.get() && !self.stopping.get();
             return if ready {
@@ -248,7 +258,9 @@
             reply,
         });
         let _ = self.inputs.send(arrived);
+        link.waiting.set(true);
         let answer = answer.await;
+        link.waiting.set(false);
         ticket.answered = true;
         match answer {
             Ok(Answer::Served(answer)) => {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -247,6 +247,35 @@
     until("its connection closed", || backend.closed() == 1);
 }
 
+/// What a client has sent beyond its request hides from a server that has stopped reading that the client is gone.
+/// Its request is neither held for a backend that comes up later nor worked on any longer.
+#[test]
+fn a_client_that_leaves_is_noticed_whatever_it_sent_before() {
+    let (read, pay) = (request("read", 60_000), request("pay", 60_000));
+    let sent_before = [String::new(), "GET /re".into(), read, "x".repeat(8 << 10), "x".repeat(1 << 20)];
+    for beyond in &sent_before {
+        let backend = Backend::start(|m| if m.start.contains("/pay/") { Reply::Silence } else { ok("x") });
+        let (proxy, discovery) = proxy_for(&[("a", &backend)]);
+        let leave = || {
+            let mut client = Client::open(proxy.address);
+            client.send(&format!("{pay}{beyond}"));
+            client
+        };
+        let client = leave();
+        until("the attempt", || backend.requests().len() == 1);
+        drop(client);
+        until("its connection closed", || backend.closed() == 1);
+        discovery.tell(false, &[line("a", backend.address, "draining", 0)]);
+        let leavers: Vec<Client> = (0..20).map(|_| leave()).collect();
+        until("all are held", || proxy.log().matches(" came with ").count() == 21);
+        drop(leavers);
+        until("all are gone", || proxy.log().matches("left by its client").count() == 21);
+        discovery.tell(false, &[line("a", backend.address, "ready", 0)]);
+        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+        assert_eq!(backend.requests().len(), 2, "after {} bytes more", beyond.len());
+    }
+}
+
 /// The deadline ends attempts as timed out and the module answers; the safety net stays unused, also where
 /// less time is left than a tick.
 #[test]
