Write no attempt whose client has left or whose window is over by then, whatever still dials

Ruled out: cancel on (the module's Cancel aborts the dial at its next turn, the test plays it), a drain during the dial (looked at before the first byte, tested before), a second attempt written while an aborted one's connection stands (the aborted task is in the run queue before the new one, which has to dial or write after it).

At fault: upstream.rs, attempt, which looked at nothing but the drain before it wrote; driver.rs, which told it of no end; logic.rs, pump, which had no way to say until when. Now the action carries `by`, and an attempt that is not written whole by then, or when its request is over (left, or answered by another attempt), is dropped with its connection and told as never sent. What was written whole is left to the module, as the settings say. The window counts from the first attempt sent, and the first may be overtaken while it dials, so `by` bounds it as well.

All effects go through the one place: free and single_shot carry no `by` and end with their request, guarded ones of every scope carry it.

--- a/src/bin/beechworks-simhost/wire.rs
+++ b/src/bin/beechworks-simhost/wire.rs
@@ -251,7 +251,7 @@
     let address = |id: &BackendId| addresses.get(id).map_or("", String::as_str);
     // Instance names and addresses were checked to hold nothing that JSON would escape.
     let _ = match action {
-        Action::Dispatch { request, backend } => {
+        Action::Dispatch { request, backend, .. } => {
             let to = address(backend);
             writeln!(reply, "[\"HAND_OFF\",\"{who}\",\"{:016x}\",\"{to}\",0]", request.0)
         }
--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -62,6 +62,12 @@
 }
 
 impl Open {
+    /// Takes the way to the client, of whom nothing is owed any more.
+    fn settle(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.call.end();
+        self.reply.take()
+    }
+
     fn is_over(&self) -> bool {
         self.reply.is_none() && self.attempts.is_empty()
     }
@@ -226,7 +232,7 @@
         match input {
             Input::Arrived(arrived) => self.arrived(arrived),
             Input::Left(request) => {
-                if self.requests.get_mut(&request).is_some_and(|r| r.reply.take().is_some()) {
+                if self.requests.get_mut(&request).is_some_and(|r| r.settle().is_some()) {
                     self.events.push(Event::ClientGone { request });
                     self.forget(request);
                 }
@@ -264,7 +270,7 @@
         let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
         task.abort();
         if let Some(answer) = ended.answer {
-            if let Some(reply) = r.reply.take() {
+            if let Some(reply) = r.settle() {
                 let _ = reply.send(Answer::Served(answer));
             }
         }
@@ -295,7 +301,7 @@
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        if let Some(reply) = self.requests.get_mut(&request).and_then(|r| r.reply.take()) {
+        if let Some(reply) = self.requests.get_mut(&request).and_then(Open::settle) {
             let _ = reply.send(answer);
         }
         self.forget(request);
@@ -411,7 +417,7 @@
         }
         for (_, mut r) in self.requests.drain() {
             r.attempts.values().for_each(|a| a.task.abort());
-            if let Some(reply) = r.reply.take() {
+            if let Some(reply) = r.settle() {
                 let _ = reply.send(Answer::Failed);
             }
         }
@@ -430,7 +436,7 @@
 
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Dispatch { request, backend } => self.dispatch(now, request, backend),
+            Action::Dispatch { request, backend, by } => self.dispatch(now, request, backend, by),
             Action::Refuse { request } => {
                 let after = self.balancer.retry_after();
                 self.answer(request, Answer::Refused(after));
@@ -451,7 +457,7 @@
         }
     }
 
-    fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId) {
+    fn dispatch(&mut self, now: Time, request: RequestId, backend: BackendId, by: Option<Time>) {
         let (inputs, pool) = (self.inputs.clone(), self.pool.clone());
         let Some(r) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptNo(r.count);
@@ -479,9 +485,10 @@
             upstream.target.address
         );
         let (call, deadline) = (r.call.clone(), r.deadline);
+        let by = by.map_or(deadline, |by| by.min(deadline));
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&upstream, &call, deadline).await;
+            let ended = pool.attempt(&upstream, &call, by, deadline).await;
             report.tell(ended);
         });
         r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle() });
@@ -502,7 +509,7 @@
         let mut driver =
             Driver::new(Config::example(), 1, 8, Shared { pool, inputs, follow, status }).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
-        let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
+        let call = Rc::new(Call::new(hyper::Request::new(()), Bytes::new()));
         let deadline = clock.now() + Micros(1_000_000);
         let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
         driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
@@ -514,7 +521,7 @@
         let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())) };
         driver.take(Input::Ended(id, AttemptNo(0), ended));
         assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))), "at once");
-        driver.dispatch(clock.now(), id, BackendId(7));
+        driver.dispatch(clock.now(), id, BackendId(7), None);
         let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
         let expected = (AttemptNo(1), Outcome::NeverSent, true);
         assert_eq!((end.attempt, end.outcome, end.settled), expected);
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -244,7 +244,7 @@
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
         let id = RequestId(self.number());
-        let call = Rc::new(Call { head: sent, body });
+        let call = Rc::new(Call::new(sent, body));
         let mut ticket = Ticket { id, call: call.clone(), came, server: self, answered: false };
         tracing::debug!("request {} ({}) came with {} us left", id.0, call.correlation(), form.time_left.0);
         let arrived = Input::Arrived(Arrived {
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// The most that a body holds, either way.
 pub const BODY_BYTES: usize = 64 << 10;
@@ -33,11 +34,30 @@
 
 /// What goes to a backend, the same in every attempt but for the time left.
 pub struct Call {
-    pub head: Request<()>,
-    pub body: Bytes,
+    head: Request<()>,
+    body: Bytes,
+    over: Cell<bool>,
+    told: Notify,
 }
 
 impl Call {
+    pub fn new(head: Request<()>, body: Bytes) -> Call {
+        Call { head, body, over: Cell::new(false), told: Notify::new() }
+    }
+
+    /// The request has had its final answer, or its client is gone: no attempt of it is begun from now on.
+    pub fn end(&self) {
+        self.over.set(true);
+        self.told.notify_waiters();
+    }
+
+    async fn ended(&self) {
+        let told = self.told.notified();
+        if !self.over.get() {
+            told.await;
+        }
+    }
+
     /// The id under which all parties know the request, for the log: what is not plain text is not repeated.
     pub fn correlation(&self) -> &str {
         self.head.headers().get(&CORRELATION).and_then(|v| v.to_str().ok()).unwrap_or("-")
@@ -278,17 +298,34 @@
         Ok(Link { sender, driving: Box::pin(connection), progress, ended: false, _slot: slot })
     }
 
-    /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, deadline: Time) -> Ended {
+    /// A connection to the backend, and whether it is new.
+    async fn reach(&self, upstream: &Upstream) -> Result<(Link, bool), Outcome> {
+        match self.pooled(upstream).await {
+            Some(link) => Ok((link, false)),
+            None => Ok((self.connect(upstream.target.address).await?, true)),
+        }
+    }
+
+    /// Ready once an attempt must not be written any more.
+    async fn lapse(&self, call: &Call, by: Time) {
+        tokio::select! {
+            () = call.ended() => {}
+            () = tokio::time::sleep_until(self.clock.instant(by)) => {}
+        }
+    }
+
+    /// One attempt, never sent unless it is written whole `by` then and while the request still wants an answer.
+    /// It ends by itself or is dropped, which closes its connection.
+    pub async fn attempt(&self, upstream: &Upstream, call: &Call, by: Time, deadline: Time) -> Ended {
+        let mut lapsed = std::pin::pin!(self.lapse(call, by));
         loop {
-            let pooled = self.pooled(upstream).await;
-            let fresh = pooled.is_none();
-            let link = match pooled {
-                Some(link) => Ok(link),
-                None => self.connect(upstream.target.address).await,
+            let reached = tokio::select! {
+                biased;
+                () = &mut lapsed => return Outcome::NeverSent.into(),
+                reached = self.reach(upstream) => reached,
             };
-            let mut link = match link {
-                Ok(link) => link,
+            let (mut link, fresh) = match reached {
+                Ok(reached) => reached,
                 Err(outcome) => return outcome.into(),
             };
             // The backend may have been told to drain while the connection came up.
@@ -296,7 +333,19 @@
                 return Outcome::NeverSent.into();
             }
             let left = (deadline - self.clock.now()).0 / 1000;
-            return match link.exchange(request(call, left)).await {
+            let progress = link.progress.clone();
+            let unwritten = async {
+                lapsed.as_mut().await;
+                if progress.whole.get() {
+                    std::future::pending::<()>().await; // it may run now, and is called off by the module alone
+                }
+            };
+            let answered = tokio::select! {
+                biased;
+                answered = link.exchange(request(call, left)) => answered,
+                () = unwritten => return Outcome::NeverSent.into(),
+            };
+            return match answered {
                 Ok(ended) => {
                     if link.alive().await && upstream.open.get() {
                         upstream.idle.borrow_mut().push((self.clock.now(), link));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -386,6 +386,8 @@
         request: RequestId,
         /// Where to.
         backend: BackendId,
+        /// Not written whole by then it must not be any more: it was never sent.
+        by: Option<Time>,
     },
     /// Final answer: refused, a retry is harmless.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -349,14 +349,19 @@
         }
     }
 
+    /// Until when all attempts of the request have to be written: repeats are discarded for a time that counts
+    /// from whichever of them is sent first, and one that still dials may be overtaken by the next.
+    fn repeats_end(&self, r: &Request) -> Option<Time> {
+        let Effect::Keyed(_, window) = self.cfg.classes[r.class].effect else { return None };
+        let first = r.sent.iter().filter(|s| !s.never_ran).map(|s| s.at).min()?;
+        Some(Time((first + window).0.saturating_sub(self.cfg.tick.0)))
+    }
+
     fn may_send(&self, now: Time, r: &Request) -> bool {
-        let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
-            Effect::Free => true,
-            Effect::Keyed(_, window) => s.never_ran || now + self.cfg.tick < s.at + window,
-            Effect::Unsafe => s.never_ran,
-        };
+        let safe = |s: &Sent| s.never_ran || self.cfg.classes[r.class].effect != Effect::Unsafe;
+        let known = self.repeats_end(r).is_none_or(|end| now < end);
         let alone = self.cfg.second_copies || !r.out();
-        alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+        known && alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
     }
 
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
@@ -448,7 +453,8 @@
                 p.spent.push((now, work));
                 self.attempts.insert((id, no), (backend, r.class, now, false));
                 self.wake_by(now + self.brisk(backend, r.class));
-                self.actions.push(Action::Dispatch { request: id, backend });
+                let by = self.repeats_end(&r).filter(|end| *end > now); // else no other will follow it
+                self.actions.push(Action::Dispatch { request: id, backend, by });
             } else if sendable {
                 if !again {
                     self.blocked = self.blocked.max(if r.value < LOW { LOW } else { f64::MAX });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -91,7 +91,7 @@
 
     fn apply(&mut self, action: Action) {
         match action {
-            Action::Dispatch { request, backend } => {
+            Action::Dispatch { request, backend, .. } => {
                 let r = self.requests.get_mut(&request).expect("dispatch of a known request");
                 assert!(r.answer.is_none(), "sent after the final answer");
                 let b = self.list.get(&backend).expect("a listed backend");
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -239,6 +239,33 @@
     assert_eq!(host.requests[&id].answer, Some("failed"));
 }
 
+/// The host learns until when an attempt may be written. The window counts from whichever is sent first, and the
+/// first may be overtaken by the next while it dials. Where nothing can follow it, it takes its time.
+#[test]
+fn every_attempt_of_a_keyed_request_ends_with_the_window_of_the_first() {
+    let by = |host: &Host| {
+        let by = |a: &Action| match a {
+            Action::Dispatch { by, .. } => Some(*by),
+            _ => None,
+        };
+        host.last.iter().find_map(by).expect("an attempt")
+    };
+    let keyed = |window| class(Effect::Keyed(KeyScope::All, Micros(window)));
+    let mut host = host(config(vec![keyed(200_000), keyed(0), class(Effect::Free)]), fleet(6));
+    serve(&mut host, 60, 0, |_| 10_000);
+    let id = host.arrive(0, 900_000);
+    let end = host.now + Micros(200_000);
+    let tick = host.cfg.tick;
+    assert!(by(&host).is_some_and(|by| by <= end && by + tick >= end), "the first");
+    host.advance(50_000);
+    host.end(id, 0, Outcome::Error);
+    assert!(by(&host).is_some_and(|by| by <= end && by + tick >= end), "the next");
+    for class in [1, 2] {
+        host.arrive(class, 900_000);
+        assert_eq!(by(&host), None);
+    }
+}
+
 /// Serves on all but the erring backend until that is ejected; gives its number.
 fn eject_one(host: &mut Host) -> u32 {
     serve(host, 60, 0, |_| 10_000);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use sockets::*;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 /// A proxy that knows these backends, by name, and its discovery.
@@ -324,38 +324,108 @@
     (0..20).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b"));
 }
 
+/// A backend whose connections come up late: they wait in a full queue until its listener accepts.
+struct Late {
+    listener: TcpListener,
+    address: SocketAddr,
+    queued: Vec<TcpStream>,
+}
+
+impl Late {
+    fn start() -> Late {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let brief = Duration::from_millis(300);
+        let queued =
+            std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(10_000).collect();
+        Late { listener, address, queued }
+    }
+
+    /// Lets them come up; afterwards tells how many bytes came on all of them.
+    fn accept(self) -> impl FnOnce() -> usize {
+        let Late { listener, address, queued } = self;
+        drop(queued);
+        let bytes = std::thread::spawn(move || {
+            let (mut bytes, mut buffer) = (0, [0; 64]);
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                match stream.read(&mut buffer) {
+                    Ok(n) if buffer.starts_with(b"done") => return bytes + n - 4,
+                    Ok(n) => bytes += n,
+                    Err(_) => {}
+                }
+            }
+            bytes
+        });
+        move || {
+            TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
+            bytes.join().unwrap()
+        }
+    }
+}
+
+/// The configuration of a proxy that waits for such connections.
+fn patient(discovery: &Discovery, lines: &[Value]) -> Value {
+    changed(&config(discovery.address, lines), "/settings/limits/dial_timeout_us", json!(20_000_000))
+}
+
 /// A backend may be told to drain while the connection to it comes up: not a byte goes there then.
 #[test]
 fn a_drain_is_seen_after_the_connect() {
-    // Connections wait in a full queue until the listener accepts; the proxy's comes up after the news.
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let brief = Duration::from_millis(300);
-    let queued: Vec<TcpStream> =
-        std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(10_000).collect();
-    let discovery = Discovery::start();
-    let mut config = config(discovery.address, &[line("a", address, "ready", 0)]);
-    config["settings"]["limits"]["dial_timeout_us"] = json!(20_000_000);
-    let proxy = Proxy::start(&config);
+    let (late, discovery) = (Late::start(), Discovery::start());
+    let proxy = Proxy::start(&patient(&discovery, &[line("a", late.address, "ready", 0)]));
     let mut client = Client::open(proxy.address);
     client.send(&request("pay", 30_000));
-    std::thread::sleep(brief); // long enough as a rule for the attempt to wait in the queue
-    discovery.tell(false, &[line("a", address, "draining", 0)]);
-    drop(queued);
-    let bytes = std::thread::spawn(move || {
-        let (mut bytes, mut buffer) = (0, [0; 64]);
-        for mut stream in listener.incoming().map_while(Result::ok) {
-            match stream.read(&mut buffer) {
-                Ok(n) if buffer.starts_with(b"done") => return bytes + n - 4,
-                Ok(n) => bytes += n,
-                Err(_) => {}
-            }
-        }
-        bytes
-    });
+    until("the attempt", || proxy.log().contains("attempt 0 goes to"));
+    discovery.tell(false, &[line("a", late.address, "draining", 0)]);
+    let bytes = late.accept();
     assert_eq!(client.answer().map(|a| a.status()), Some(503));
-    TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
-    assert_eq!(bytes.join().unwrap(), 0);
+    assert_eq!(bytes(), 0);
+}
+
+/// Where attempts may not be called off, one that has not begun as its client leaves still must never be written;
+/// nor may a copy that still dials as the first attempt brings the answer.
+#[test]
+fn an_attempt_not_yet_begun_is_not_written_once_its_client_has_left() {
+    for cancel in [true, false] {
+        let (late, discovery) = (Late::start(), Discovery::start());
+        let config = patient(&discovery, &[line("a", late.address, "ready", 0)]);
+        let proxy = Proxy::start(&changed(&config, "/settings/limits/cancel", json!(cancel)));
+        let mut clients = Vec::new();
+        for class in ["read", "vote", "pay"] {
+            let mut client = Client::open(proxy.address);
+            client.send(&request(class, 60_000));
+            clients.push(client);
+        }
+        until("the attempts", || proxy.log().matches("attempt 0 goes to").count() == 3);
+        drop(clients);
+        until("all are gone", || proxy.log().matches("left by its client").count() == 3);
+        let bytes = late.accept();
+        until("the end of all", || proxy.log().matches("attempt 0 ended").count() == 3);
+        assert_eq!(bytes(), 0, "cancel: {cancel}");
+    }
+}
+
+/// Repeats of a guarded class are discarded for a time after the first was sent. A further attempt that still dials
+/// when it is over would run a second time.
+#[test]
+fn a_repeat_that_dials_past_its_window_is_not_written() {
+    let (late, discovery) = (Late::start(), Discovery::start());
+    let failing = |m: &Message| match m.start.contains("/vote/") {
+        true => Reply::Say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".into()),
+        false => ok("x"),
+    };
+    let backend = Backend::start(failing);
+    let lines = [line("a", backend.address, "ready", 0)];
+    let proxy = Proxy::start(&patient(&discovery, &lines));
+    warm_up(&proxy);
+    discovery.tell(false, &[line("b", late.address, "ready", 0)]);
+    let mut client = Client::open(proxy.address);
+    client.send(&request("vote", 30_000));
+    until("the further attempt", || proxy.log().contains(&format!("at {}", late.address)));
+    std::thread::sleep(Duration::from_millis(1300)); // the settings' window and more
+    let bytes = late.accept();
+    assert_eq!(client.answer().map(|a| a.status()), Some(502));
+    assert_eq!(bytes(), 0);
 }
 
 /// A backend is known by its name: after a restart its old connections and its old address are not used.
