--- a/src/logic.rs
+++ b/src/logic.rs
@@ -349,8 +349,8 @@
         }
     }
 
-    /// Until when all attempts of the request have to be written: repeats are discarded for a time that counts
-    /// from whichever of them is sent first, and one that still dials may be overtaken by the next.
+    /// Until when all attempts of the request have to be written: repeats are discarded for a time that
+    /// counts from whichever of them is sent first, and one that still dials may be overtaken by the next.
     fn repeats_end(&self, r: &Request) -> Option<Time> {
         let Effect::Keyed(_, window) = self.cfg.classes[r.class].effect else { return None };
         let first = r.sent.iter().filter(|s| !s.never_ran).map(|s| s.at).min()?;
@@ -453,7 +453,7 @@
                 p.spent.push((now, work));
                 self.attempts.insert((id, no), (backend, r.class, now, false));
                 self.wake_by(now + self.brisk(backend, r.class));
-                let by = self.repeats_end(&r).filter(|end| *end > now); // else no other will follow it
+                let by = self.repeats_end(&r).filter(|end| *end > now); // else none will follow it
                 self.actions.push(Action::Dispatch { request: id, backend, by });
             } else if sendable {
                 if !again {
