Let a connection to a backend settle before its next request, past a late second answer

Where the next request was already written by then, the second answer would have been read as the answer to it, and served: an answer that no backend made for that request.

At fault: upstream.rs, pooled, which gave a connection out again at once, the one used last first. It now rests 20 ms after each answer, several times what was measured. Another that has settled goes first; else the request waits for the next to settle, which is no longer than a new connection takes to come up and costs no handshake.

The test's backend writes a second answer as soon as a request comes within 10 ms of the last answer on the same connection; without the change the first repeat is served "late".

--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -32,6 +32,11 @@
 /// and its table is full of what many proxies keep to backends that they have ceased to use.
 const IDLE_MOST: Micros = Micros(5_000_000);
 
+/// A connection is used again only this long after its last answer: a spoilt one may be followed by a second, some
+/// milliseconds later, and nothing in an answer tells which request it is to. What comes on an idle connection ends
+/// it; what came after the next request was written would be served as the answer to that.
+const SETTLE: Micros = Micros(20_000);
+
 /// What goes to a backend, the same in every attempt but for the time left.
 pub struct Call {
     head: Request<()>,
@@ -95,6 +100,13 @@
         self.idle.borrow_mut().pop().is_some()
     }
 
+    /// Takes out the idle connection that was used last of those that have settled, else the one next to settle.
+    fn take_idle(&self, now: Time) -> Option<(Time, Link)> {
+        let mut idle = self.idle.borrow_mut();
+        let settled = idle.iter().rposition(|(since, _)| now - *since >= SETTLE).unwrap_or(0);
+        (settled < idle.len()).then(|| idle.remove(settled))
+    }
+
     /// Nothing new goes to it from now on.
     pub fn shut(&self) {
         self.open.set(false);
@@ -266,10 +278,12 @@
         self.sockets.get() >= self.most
     }
 
-    /// The pooled connection that was used last, if the backend has not closed it.
+    /// A pooled connection that has settled and that the backend has not closed. A new one would take no less time
+    /// to come up than the wait for that, and its handshake costs the backend work.
     async fn pooled(&self, upstream: &Upstream) -> Option<Link> {
         loop {
-            let (since, mut link) = upstream.idle.borrow_mut().pop()?;
+            let (since, mut link) = upstream.take_idle(self.clock.now())?;
+            tokio::time::sleep_until(self.clock.instant(since + SETTLE)).await;
             if self.clock.now() - since < self.idle_limit && link.alive().await {
                 return Some(link);
             }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -202,6 +202,41 @@
     (0..10).for_each(|_| assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200));
 }
 
+/// A spoilt answer may be followed by a second one. Told apart from the next request's answer it can be only while
+/// no request is out on that connection: the second answer is written as the next request comes, on whichever.
+#[test]
+fn a_late_second_answer_is_not_served_to_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let too_soon = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let soon = too_soon.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let soon = soon.clone();
+            std::thread::spawn(move || {
+                let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{body}");
+                let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+                let mut answered: Option<Instant> = None;
+                while read_message(&mut reader).is_some() {
+                    // From here on a second answer to the last request would arrive as one to this.
+                    let late = answered.is_some_and(|at| at.elapsed() < Duration::from_millis(10));
+                    if late {
+                        soon.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                    }
+                    let _ = stream.write_all(answer(if late { "late" } else { "good" }).as_bytes());
+                    answered = Some(Instant::now());
+                }
+            });
+        }
+    });
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&config(discovery.address, &[line("a", address, "ready", 0)]));
+    for _ in 0..30 {
+        assert_eq!(ask(&proxy, &request("pay", 7000)).body, b"good");
+    }
+    assert_eq!(too_soon.load(std::sync::atomic::Ordering::SeqCst), 0);
+}
+
 /// A backend that closed an idle connection has not seen the next request: it goes out on a new one.
 #[test]
 fn a_stale_pooled_connection_costs_no_attempt() {
