Give every answer before the SIGKILL that follows SIGTERM, also where clients wait longer

At fault: server.rs, run, which let every deadline stand and ended the process `longest` after the listener, 4.5 s here.

Now no deadline lies later than 3.6 s after SIGTERM (less where the longest is shorter). The driver moves those of what is open, and of what comes after; the module is told by an event, so that it answers by its own rules what is held and what is out, with no send in between: 502 for what may have run, 503 for the rest. The process ends a tenth of a second later at the latest.

Looked at and found sound: a second SIGTERM or SIGINT (the signal's stream swallows it), SIGHUP during shutdown (the reload runs on and discovery may move), shutdown before the first list with discovery silent (held requests are refused), a fresh connection's first request (tested before). The test plays these together; without the change the first answer never comes. A connection that completes in the instant between the last accept and the close of the listener is reset unread; the front stops 0.1 s before that.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -43,6 +43,8 @@
     Left(RequestId),
     Ended(RequestId, AttemptNo, Ended),
     List(ListUpdate, Vec<Target>),
+    /// The process is to end: every request has its answer by then.
+    Stop(Time),
 }
 
 /// An attempt that is out.
@@ -91,6 +93,8 @@
     requests: HashMap<RequestId, Open>,
     over: Vec<RequestId>,
     deadlines: BTreeSet<(Time, RequestId)>,
+    /// No deadline is later: the process ends then.
+    last: Time,
     /// Requests past their deadline and the time at which the module's turn to answer them is over.
     overdue: VecDeque<(Time, RequestId)>,
     timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
@@ -166,6 +170,7 @@
             requests: HashMap::new(),
             over: Vec::new(),
             deadlines: BTreeSet::new(),
+            last: Time(u64::MAX),
             overdue: VecDeque::new(),
             timers: BinaryHeap::new(),
             events: Vec::new(),
@@ -239,16 +244,28 @@
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
             Input::List(update, targets) => self.list(update, targets),
+            Input::Stop(by) => self.stop(by),
         }
     }
 
+    fn stop(&mut self, by: Time) {
+        self.last = by;
+        for (&id, r) in self.requests.iter_mut().filter(|(_, r)| r.deadline > by) {
+            self.deadlines.remove(&(r.deadline, id));
+            r.deadline = by;
+            self.deadlines.insert((by, id));
+        }
+        self.events.push(Event::Stop { by });
+    }
+
     fn arrived(&mut self, new: Arrived) {
         if self.requests.len() >= self.open_cap {
             // It reaches neither the module nor a backend.
             let _ = new.reply.send(Answer::Refused(self.balancer.retry_after()));
             return;
         }
-        let time_left = new.deadline - self.clock.now();
+        let deadline = new.deadline.min(self.last);
+        let time_left = deadline - self.clock.now();
         self.events.push(Event::Request(Arrival {
             request: new.id,
             class: new.class,
@@ -257,9 +274,9 @@
             work_hint: new.work_hint,
             repeat: new.repeat,
         }));
-        self.deadlines.insert((new.deadline, new.id));
+        self.deadlines.insert((deadline, new.id));
         let (attempts, reply) = (HashMap::new(), Some(new.reply));
-        let open = Open { deadline: new.deadline, call: new.call, reply, attempts, count: 0 };
+        let open = Open { deadline, call: new.call, reply, attempts, count: 0 };
         self.requests.insert(new.id, open);
     }
 
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -32,6 +32,11 @@
 
 /// After SIGTERM new connections still come for a while; so long they are accepted.
 const STOP_ACCEPTING: Duration = Duration::from_millis(500);
+/// SIGKILL comes 0.7 s after SIGTERM and the longest deadline, which is taken as at most so long. What it finds
+/// unanswered is lost: every answer is given before, and has the rest of that time for its way to the client.
+const LAST_DEADLINE: Micros = Micros(3_000_000);
+const LAST_ANSWER: Micros = Micros(600_000);
+const LAST_WRITE: Micros = Micros(100_000);
 /// A connection that brings no whole head for so long is closed, also between requests: the platform lets go of
 /// idle ones from then on, and each silent peer holds one of few descriptors until it is.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -116,12 +121,15 @@
         tokio::pin!(stop);
         let end = tokio::time::sleep(Duration::MAX);
         tokio::pin!(end);
+        let mut last = Time(u64::MAX);
         loop {
             self.make_room();
             tokio::select! {
                 biased;
                 () = &mut stop, if !self.stopping.get() => {
                     self.stopping.set(true);
+                    last = self.clock.now() + self.longest.min(LAST_DEADLINE) + LAST_ANSWER;
+                    let _ = self.inputs.send(Input::Stop(last));
                     end.as_mut().reset(tokio::time::Instant::now() + STOP_ACCEPTING);
                 }
                 () = &mut end, if self.stopping.get() => break,
@@ -140,7 +148,7 @@
             self.clone().serve(stream);
         }
         drop(listener);
-        let last = tokio::time::Instant::now() + duration(self.longest);
+        let last = self.clock.instant(last + LAST_WRITE);
         loop {
             self.links.borrow().values().filter(|l| l.idle.get().is_some()).for_each(|l| l.tell_to_close());
             let freed = tokio::time::timeout_at(last, self.freed.notified());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -370,6 +370,11 @@
         /// The request.
         request: RequestId,
     },
+    /// The host ends: no answer may come later than this.
+    Stop {
+        /// The latest deadline from now on.
+        by: Time,
+    },
     /// A timer fell due.
     Timer {
         /// Which.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -114,6 +114,11 @@
             }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request, None),
+            Event::Stop { by } => {
+                let late = self.requests.values_mut().filter(|r| r.deadline > by);
+                late.for_each(|r| (r.aim, r.deadline) = (r.aim.min(by), by));
+                self.wake_by(now);
+            }
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = None,
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -739,6 +739,38 @@
     assert!(proxy.exit().success());
 }
 
+/// SIGKILL comes 3.7 s after SIGTERM even where clients wait longer, and finds nothing unanswered: neither what is
+/// out on a backend that hangs, nor what is held, nor what comes while the proxy ends. Neither a second SIGTERM nor a
+/// SIGHUP changes that, nor a discovery that never spoke.
+#[test]
+fn sigterm_brings_every_answer_before_the_kill() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let hung = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let without_list = config(discovery.address, &[]);
+    for (config, statuses) in [(hung, [502, 502, 503]), (without_list, [503, 503, 503])] {
+        let mut proxy = Proxy::spawn(&config);
+        let mut clients: Vec<Client> = (0..3).map(|_| Client::open(proxy.address)).collect();
+        clients[0].send(&request("pay", 60_000));
+        clients[1].send(&request("vote", 60_000));
+        until("both came", || proxy.log().matches(" came with ").count() == 2);
+        let began = Instant::now();
+        proxy.terminate();
+        until("not ready", || proxy.ready() != 200);
+        clients[2].send(&request("read", 60_000));
+        proxy.terminate();
+        let before = proxy.log().matches("SIGHUP").count();
+        proxy.reload(&config.to_string());
+        until("a line about the reload", || proxy.log().matches("SIGHUP").count() > before);
+        for (client, status) in clients.iter_mut().zip(statuses) {
+            assert_eq!(client.answer().map(|a| a.status()), Some(status));
+        }
+        assert!(proxy.exit().success());
+        assert!(began.elapsed() < Duration::from_secs(6), "{:?}", began.elapsed()); // no deadline is so early
+        assert!(!proxy.log().contains("ERROR"), "{}", proxy.log());
+    }
+}
+
 /// A connection that was accepted may have its first request on the way when the listener closes.
 #[test]
 fn sigterm_waits_for_the_first_request_of_a_connection() {
