Read a closing client connection to its end, so that a reset destroys no answer

The system then sends a reset in place of an end, and what is still on its way to the client may be lost with it. In the test the client sees the reset after each of these answers.

At fault: server.rs, serve, which dropped the socket as soon as hyper had done with it. The connection's task now ends the sending side and reads on until the client's own end, for half a second at most and keeping nothing.

--- a/src/bin/gaugesaddle/inbound.rs
+++ b/src/bin/gaugesaddle/inbound.rs
@@ -6,10 +6,12 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -17,12 +19,16 @@
 /// of theirs. The rest is read, for the end behind it, and dropped.
 const AHEAD_BYTES: usize = 2 * BODY_BYTES;
 const CHUNK: usize = 4096;
+/// A client closes once it has read the end: by then the answer has arrived, or never will. Peers that do not close
+/// hold a descriptor for so long.
+const LINGER: Duration = Duration::from_millis(500);
 
 struct Socket {
     io: TokioIo<TcpStream>,
     ahead: BytesMut,
     /// More was sent than is kept: what comes after that cannot be told.
     cut: bool,
+    wrote: bool,
 }
 
 impl Socket {
@@ -40,11 +46,23 @@
 
 impl Inbound {
     pub fn new(stream: TcpStream) -> Inbound {
-        Inbound(Rc::new(RefCell::new(Socket {
-            io: TokioIo::new(stream),
-            ahead: BytesMut::new(),
-            cut: false,
-        })))
+        let (io, ahead) = (TokioIo::new(stream), BytesMut::new());
+        Inbound(Rc::new(RefCell::new(Socket { io, ahead, cut: false, wrote: false })))
+    }
+
+    /// Ends the connection after its last answer. A socket closed with something unread in it resets the connection,
+    /// which may destroy the answer on its way: what still comes is read first, up to the client's own end.
+    pub async fn linger(&self) {
+        if !self.0.borrow().wrote {
+            return;
+        }
+        let end = async {
+            let shut = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().io).poll_shutdown(cx)).await;
+            if shut.is_ok() {
+                poll_fn(|cx| self.poll_left(cx)).await;
+            }
+        };
+        let _ = tokio::time::timeout(LINGER, end).await;
     }
 
     /// Ready once the client has closed or reset the connection, whatever it had sent before that.
@@ -78,12 +96,16 @@
 
 impl Write for Inbound {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().io).poll_write(cx, buf)
+        let socket = &mut *self.0.borrow_mut();
+        socket.wrote = true;
+        Pin::new(&mut socket.io).poll_write(cx, buf)
     }
     fn poll_write_vectored(
         self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().io).poll_write_vectored(cx, bufs)
+        let socket = &mut *self.0.borrow_mut();
+        socket.wrote = true;
+        Pin::new(&mut socket.io).poll_write_vectored(cx, bufs)
     }
     fn is_write_vectored(&self) -> bool {
         self.0.borrow().io.is_write_vectored()
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -191,7 +191,7 @@
                         if let Err(e) = ended {
                             tracing::debug!("client connection: {e}");
                         }
-                        break;
+                        break socket.linger().await;
                     }
                     () = link.close.notified() => connection.as_mut().graceful_shutdown(),
                     () = &mut left => break,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -93,6 +93,28 @@
     assert_eq!(ask(&proxy, &read).status(), 200);
 }
 
+/// An answer given before all was read must arrive: a connection that is closed with bytes unread is reset, and what
+/// was on its way to the client may be lost with it.
+#[test]
+fn an_answer_is_not_destroyed_by_what_was_left_unread() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let (read, pay, more) = (request("read", 7000), request("pay", 7000), "x".repeat(200_000));
+    let length = format!("Content-Length: {}", more.len());
+    let cases = [
+        (pay.replace("Content-Length: 4", &length).replace("body", &more), 413),
+        (format!("{}{more}", read.replace("read/", "none/")), 400),
+        (format!("{}{more}", read.replace("Host", "Connection: close\r\nHost")), 200),
+        (format!("nonsense\r\n\r\n{more}"), 400),
+    ];
+    for (text, status) in cases {
+        let mut client = Client::open(proxy.address);
+        client.send(&text);
+        assert_eq!(client.answer().map(|a| a.status()), Some(status));
+        assert!(client.ends_whole(), "reset after {status}: {:.80}", text);
+    }
+}
+
 /// What a client sends in one piece is answered in turn; what ends before its end was never asked.
 #[test]
 fn pipelined_requests_are_answered_in_turn_and_a_cut_one_reaches_nobody() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -412,6 +412,10 @@
     pub fn stop_sending(&mut self) {
         let _ = self.stream.get_mut().shutdown(std::net::Shutdown::Write);
     }
+    /// Whether the connection comes to its end with nothing more in it, and is not reset.
+    pub fn ends_whole(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
     /// Whether the proxy has closed the connection; waits for it.
     pub fn ends(&mut self) -> bool {
         matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
