--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -112,6 +112,11 @@
         client.send(&text);
         assert_eq!(client.answer().map(|a| a.status()), Some(status));
         assert!(client.ends_whole(), "reset after {status}: {:.80}", text);
+        // A client that is still sending as the answer comes must not be reset before it has read that.
+        for _ in 0..3 {
+            std::thread::sleep(Duration::from_millis(10));
+            assert!(client.try_send("more").is_ok(), "reset after {status}: {:.80}", text);
+        }
     }
 }
 
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -403,7 +403,10 @@
         Ok(Client { stream: BufReader::new(stream) })
     }
     pub fn send(&mut self, text: &str) {
-        let _ = self.stream.get_mut().write_all(text.as_bytes());
+        let _ = self.try_send(text);
+    }
+    pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
+        self.stream.get_mut().write_all(text.as_bytes())
     }
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
