Give up a call that the agent of a pushed list has lost within the time that drains allow

0.029 asked for /api/targets?after=0&wait_ms=4000 5.536 no answer in time 5.588 asked for /api/targets 9.089 no answer in time 9.191 asked for /api/targets 9.192 version 0, 12 lines

What an agent gets at its return counts at once, and nothing may go to a backend that drains 1.05 s later: a lost call hid it for up to 3.5 s (whole list), 5.5 s (watch), and the wait between two calls for 1 s more.

Ruled out: a late answer (each came within 2 ms of a call that was answered), the spread of calls after a loss (pushed lists are asked again unasked). At fault: discovery.rs, PUSH_WAIT, LIST_WAIT, GRACE and the upper BACKOFF, made for one clock of silence of 6 s. For pushed lists they are now parts of rules.stop_sending_within_us: half for the wait of a watch, a quarter for an answer that is due and for the pause. An agent serves its own proxy, so a call more costs nothing; where one service is asked nothing changes.

Each call and each answer of discovery now stand in the debug log. The tests' discovery keeps to the wait that a call names, and drops a call that the proxy has closed, which it served before. The new test fails with the old times (4.55 s for a lost call, 3 s wanted, 1 s meant).

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -22,6 +22,8 @@
     pub conn_idle: Micros,
     /// A connection that is not up after this time counts as failed.
     pub dial_timeout: Micros,
+    /// So soon after the news sends to a backend that drains must cease.
+    pub stop_sending: Micros,
     /// The longest time that a client waits.
     pub longest: Micros,
 }
@@ -29,6 +31,10 @@
 /// Fewer descriptors leave no room for clients, backends and discovery.
 const LEAST_SOCKETS: u32 = 64;
 
+/// Within what the time for ceasing to send is taken: an agent of its own needs some of it to answer, and what a
+/// silent one has to tell counts as told after 6 s in any case.
+const STOP_SENDING: (Micros, Micros) = (Micros(200_000), Micros(4_000_000));
+
 /// Reads the file that `$BALANCER_CONFIG` names.
 pub fn load() -> Result<Config, String> {
     let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: missing, expected a file name")?;
@@ -56,6 +62,9 @@
     for class in settings.get("profiles").list()? {
         longest = longest.max(class.get("deadline_us").micros()?);
     }
+    let within = settings.get("rules").get("stop_sending_within_us");
+    let within = if within.value().is_some() { within.micros()? } else { STOP_SENDING.0 };
+    let stop_sending = within.clamp(STOP_SENDING.0, STOP_SENDING.1);
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
     Ok(Config {
         listen: address(&root.get("listen"))?,
@@ -68,6 +77,7 @@
         open_cap: limits.get("open_cap").count()? as usize,
         conn_idle: limits.get("conn_idle_us").micros()?,
         dial_timeout: limits.get("dial_timeout_us").micros()?,
+        stop_sending,
         longest,
     })
 }
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -30,8 +30,11 @@
     pub targets: Vec<Target>,
 }
 
-/// A pushed list costs its agent nothing: short waits notice one that fell silent.
-const PUSH_WAIT: Duration = Duration::from_secs(4);
+/// A pushed list costs its agent nothing. What the agent has counts as told at once, whatever became of a call that
+/// it took while it was down: that such a call is lost has to show, and the next to be answered, within the time in
+/// which sends to a backend that drains must cease. Parts of that for the wait, and for an answer that is due.
+const PUSH_WAIT: u32 = 2;
+const PUSH_GRACE: u32 = 4;
 /// Where all proxies ask one service, each call costs it work: the longest wait, and the part of it over which
 /// the proxies of a fleet spread theirs. News answers all of them at once, so all call again at once; were their
 /// waits alike, all would miss a watch that fell silent at the same moment too, and their calls stand in one queue
@@ -41,9 +44,9 @@
 /// The whole list waits for no news, only for its turn in the service's queue. What it tells counts as told 4 s
 /// after a signal to reload, 6 s after any other call: silence has to show before that.
 const LIST_WAIT: Duration = Duration::from_secs(2);
-/// An answer that is this late does not come.
+/// An answer of the one service that is this late does not come.
 const GRACE: Duration = Duration::from_millis(1500);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+const BACKOFF: Duration = Duration::from_millis(50);
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
 
@@ -124,6 +127,8 @@
     pub mode: Discovery,
     /// A connection that is not up after this time does not come up.
     pub dial_timeout: Duration,
+    /// So soon after the news sends to a backend that drains must cease.
+    pub stop_sending: Duration,
     /// The version last had.
     pub index: Option<u64>,
     /// This proxy's place in its fleet, from 0 up to 1.
@@ -134,23 +139,27 @@
 }
 
 impl Watch {
-    /// What the next call asks for, the whole list or what is newer than the version held, and how long
-    /// discovery may take over it.
+    /// What the next call asks for, the whole list or what is newer than the version held, and when it is lost.
     fn next_call(&self) -> (String, Duration) {
-        let Some(index) = self.index else { return ("/api/targets".into(), LIST_WAIT) };
-        let wait = match self.mode {
-            Discovery::Push => PUSH_WAIT,
-            Discovery::Subscribe(_) => ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * self.place),
+        let (list, wait, grace) = match self.mode {
+            Discovery::Push => {
+                (Duration::ZERO, self.stop_sending / PUSH_WAIT, self.stop_sending / PUSH_GRACE)
+            }
+            Discovery::Subscribe(_) => (LIST_WAIT, ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * self.place), GRACE),
         };
-        (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait)
+        match self.index {
+            None => ("/api/targets".into(), list + grace),
+            Some(index) => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + grace),
+        }
     }
 
     /// Makes the next call and waits for what comes of it.
     async fn next(&mut self, line: &mut Option<Line>) -> Heard {
         let address = *self.address.borrow_and_update();
-        let (path, wait) = self.next_call();
+        let (path, limit) = self.next_call();
+        tracing::debug!("discovery: asked for {path}");
         // An agent that never answers must not hold the watch: every call has its time.
-        let call = tokio::time::timeout(wait + GRACE, call(address, self.dial_timeout, &path, line));
+        let call = tokio::time::timeout(limit, call(address, self.dial_timeout, &path, line));
         tokio::pin!(call);
         loop {
             tokio::select! {
@@ -180,7 +189,7 @@
     /// Watches for ever. Each next call goes out at once, so that no change falls between two watches.
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
-        let (mut line, mut backoff, mut watching) = (None, BACKOFF.0, pushed);
+        let (mut line, mut backoff, mut watching) = (None, BACKOFF, pushed);
         let (mut moved, mut silent) = (false, false);
         loop {
             let heard =
@@ -198,7 +207,8 @@
                     continue;
                 }
                 Heard::Told(list) => {
-                    (watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
+                    tracing::debug!("discovery: version {}, {} lines", list.index, list.targets.len());
+                    (watching, backoff, self.index) = (true, BACKOFF, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
                         let _ = self.inputs.send(Input::List(update, list.targets));
@@ -214,7 +224,7 @@
                 // An agent that starts again may count from anew; the whole list costs it nothing.
                 self.index = None;
                 tokio::time::sleep(backoff).await;
-                backoff = (backoff * 2).min(BACKOFF.1);
+                backoff = (backoff * 2).min(self.stop_sending / PUSH_GRACE);
             } else if was_moved || (silent && !was_silent) {
                 // Asked again at once, on a new connection, but not over and over. Silence tells of no
                 // service with too many callers, and what that had to say counts as told in half a second;
@@ -270,6 +280,7 @@
             address,
             mode: Discovery::Subscribe(beechworks::Micros(10_000_000)),
             dial_timeout: Duration::from_millis(100),
+            stop_sending: Duration::from_secs(1),
             index: Some(1),
             place: 0.0,
             follow: follow.clone(),
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -76,6 +76,7 @@
         address,
         mode: config.module.discovery,
         dial_timeout: clock::duration(config.dial_timeout),
+        stop_sending: clock::duration(config.stop_sending),
         index: config.known.as_ref().map(|k| k.index),
         place: f64::from(config.module.position) / f64::from(config.module.proxies),
         follow: follow.clone(),
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -551,6 +551,21 @@
     assert_eq!(proxy.ready(), 200);
 }
 
+/// What the agent of a pushed list gets while a call hangs counts as told when it gets it: a call that was lost with
+/// the agent, whole list or watch, must not keep the proxy from hearing of a drain for longer than the rules allow.
+#[test]
+fn a_call_lost_by_the_agent_of_a_pushed_list_is_made_again_in_time() {
+    let backend = Backend::start(|_| ok("x"));
+    let (_proxy, discovery) = proxy_for(&[("a", &backend)]);
+    until("the watch", || discovery.calls() > 0);
+    for reply in [Reply::Silence, Reply::SayAndClose(String::new()), Reply::Silence, Reply::Silence] {
+        let began = Instant::now();
+        discovery.act(reply);
+        // The settings' second, and room for a loaded machine; it was 3.5 s and 5.5 s.
+        assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    }
+}
+
 /// Where the list must be asked for, the watch begins when the module asks, again after each failure.
 #[test]
 fn a_subscription_is_asked_for_by_the_module() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -152,6 +152,8 @@
     index: u64,
     /// What it does with a call that waits, or with the next.
     answer: Option<Reply>,
+    /// How many calls had come when that was done last.
+    told: usize,
 }
 
 /// Discovery: answers a call once there is news, or after its wait, or never.
@@ -181,21 +183,42 @@
     fn converse(&self, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(call) = read_message(&mut reader) {
+            let path = call.start.clone();
             self.calls.lock().unwrap().push(call.start);
-            let mut news = self.news.0.lock().unwrap();
-            let answer = loop {
-                match news.answer.take() {
-                    Some(answer) => break answer,
-                    None => news = self.news.1.wait(news).unwrap(),
-                }
-            };
-            drop(news);
-            if !answer.give(&mut stream) {
+            let answer = self.answer(&path, &stream);
+            if !answer.is_some_and(|a| a.give(&mut stream)) {
                 return;
             }
         }
     }
 
+    /// The news, or none once the call's wait is over; `None` where the proxy has given it up.
+    fn answer(&self, path: &str, stream: &TcpStream) -> Option<Reply> {
+        let number = |name: &str| -> Option<u64> {
+            let digits = path.split_once(name)?.1;
+            digits.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+        };
+        let end = number("wait_ms=").map(|wait| Instant::now() + Duration::from_millis(wait));
+        let mut news = self.news.0.lock().unwrap();
+        loop {
+            stream.set_nonblocking(true).unwrap();
+            let given_up = matches!(stream.peek(&mut [0]), Ok(0));
+            stream.set_nonblocking(false).unwrap();
+            if given_up {
+                return None;
+            }
+            if let Some(answer) = news.answer.take() {
+                news.told = self.calls();
+                return Some(answer);
+            }
+            if end.is_some_and(|end| Instant::now() >= end) {
+                let index = number("after=");
+                return Some(ok(&json!({"index": index, "snapshot": false, "endpoints": []}).to_string()));
+            }
+            news = self.news.1.wait_timeout(news, Duration::from_millis(20)).unwrap().0;
+        }
+    }
+
     /// Tells the whole list or changes, and waits until the proxy has asked again: it holds them then.
     pub fn tell(&self, whole: bool, lines: &[Value]) {
         let index = self.news.0.lock().unwrap().index + 1;
@@ -210,11 +233,12 @@
 
     /// Does that with a call, and waits until the proxy has asked again.
     pub fn act(&self, reply: Reply) {
-        let before = self.calls();
         self.news.0.lock().unwrap().answer = Some(reply);
         self.news.1.notify_all();
-        let least = if before == 0 { 2 } else { before + 1 };
-        until("the next call of discovery", || self.calls() >= least);
+        until("the next call of discovery", || {
+            let news = self.news.0.lock().unwrap();
+            news.answer.is_none() && self.calls() > news.told
+        });
     }
 
     pub fn calls(&self) -> usize {
@@ -246,7 +270,7 @@
         "over_share_worth": 0.1,
         "profiles": [class("read", "free"), class("vote", "guarded"), class("pay", "single_shot")],
         "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 10_000_000,
-                  "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+                  "ramp_time_us": 9_000_000, "stop_sending_within_us": 1_000_000, "tip_after_us": 2_000_000},
         "weight_source": "rough",
         "zones": ["east", "west"],
     })
