Ask for the whole list where discovery's version counts from anew

A watch from a later version is answered with changes under a lower one, which discovery.rs (run, Told) took as the version held from then on: what had changed before its start was in none of the changes that followed, and a backend that began to drain meanwhile was sent requests for ever. After a refused call, silence and a move the whole list was asked for before (pushed lists and moves) or the version stands (one service: it outlives a call).

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -206,6 +206,12 @@
                     (self.index, watching) = (None, true);
                     continue;
                 }
+                // It counts from anew: its changes are to another list than the one held.
+                Heard::Told(list) if !list.whole && self.index.is_some_and(|held| list.index < held) => {
+                    tracing::warn!("discovery: version {} after a later one, asking for all", list.index);
+                    (self.index, watching) = (None, true);
+                    continue;
+                }
                 Heard::Told(list) => {
                     tracing::debug!("discovery: version {}, {} lines", list.index, list.targets.len());
                     (watching, backoff, self.index) = (true, BACKOFF, Some(list.index));
@@ -357,6 +363,33 @@
         LocalSet::new().run_until(scene).await;
     }
 
+    /// A service that starts again may count from anew. What changed before its start is in none of its changes then,
+    /// and a backend that began to drain meanwhile would be sent requests for ever.
+    #[tokio::test]
+    async fn a_version_that_counts_from_anew_brings_a_call_for_the_whole_list() {
+        let scene = async {
+            let service = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (_moved, mut inputs, follow) = watching(service.local_addr().expect("an address"));
+            follow.notify_one();
+            let (caller, head) = called(&service).await;
+            assert!(head.starts_with("GET /api/targets?after=1&"), "{head}");
+            let body = r#"{"index":0,"snapshot":false,"endpoints":[]}"#;
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            caller.try_write(answer.as_bytes()).expect("sent");
+            drop(caller);
+            let (caller, head) = called(&service).await;
+            assert!(head.starts_with("GET /api/targets HTTP"), "{head}");
+            let body = r#"{"index":0,"snapshot":true,"endpoints":[]}"#;
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            caller.try_write(answer.as_bytes()).expect("sent");
+            assert!(matches!(inputs.recv().await, Some(Input::List(ListUpdate::Full, _))));
+        };
+        LocalSet::new().run_until(scene).await;
+    }
+
     /// Where the way is cut no connection comes up; the wait for one was as long as that for news, 21.5 s.
     #[tokio::test]
     async fn a_connection_that_does_not_come_up_fails_the_call_soon() {
