Take a connection on which a request has begun to come as no idle one

A connection counted as idle from its last answer to the next request's whole head, so that one with half a head read was closed under its client: server.rs, Link::idle, is cleared only as hyper hands the request over, and hyper closes a connection with half a head in its buffer as an idle one. The socket now notes that something has come since the last answer; such a connection is left to its time for the head (2 s), and what it brings is answered with Connection: close.

Without the change the test's client gets no answer.

--- a/src/bin/gaugesaddle/inbound.rs
+++ b/src/bin/gaugesaddle/inbound.rs
@@ -5,7 +5,7 @@
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -29,6 +29,7 @@
     /// More was sent than is kept: what comes after that cannot be told.
     cut: bool,
     wrote: bool,
+    heard: Rc<Cell<bool>>,
 }
 
 impl Socket {
@@ -45,9 +46,10 @@
 pub struct Inbound(Rc<RefCell<Socket>>);
 
 impl Inbound {
-    pub fn new(stream: TcpStream) -> Inbound {
+    /// `heard` is set whenever something has come.
+    pub fn new(stream: TcpStream, heard: Rc<Cell<bool>>) -> Inbound {
         let (io, ahead) = (TokioIo::new(stream), BytesMut::new());
-        Inbound(Rc::new(RefCell::new(Socket { io, ahead, cut: false, wrote: false })))
+        Inbound(Rc::new(RefCell::new(Socket { io, ahead, cut: false, wrote: false, heard })))
     }
 
     /// Ends the connection after its last answer. A socket closed with something unread in it resets the connection,
@@ -84,7 +86,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
         let socket = &mut *self.0.borrow_mut();
         if socket.ahead.is_empty() && !socket.cut {
-            return Pin::new(&mut socket.io).poll_read(cx, buf);
+            let read = Pin::new(&mut socket.io).poll_read(cx, buf);
+            socket.heard.set(socket.heard.get() || matches!(read, Poll::Ready(Ok(()))));
+            return read;
         }
         // Cut off, it ends here for hyper, which closes the connection after the answer in hand.
         let some = socket.ahead.len().min(buf.remaining());
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -75,6 +75,8 @@
     told: Cell<bool>,
     /// A request of it was read whole and waits for its answer.
     waiting: Cell<bool>,
+    /// Something has come since its last answer.
+    heard: Rc<Cell<bool>>,
     close: Notify,
 }
 
@@ -83,6 +85,11 @@
         self.told.set(true);
         self.close.notify_one();
     }
+
+    /// Since when nothing has come on it after its last answer; part of a request may have.
+    fn idle_since(&self) -> Option<Time> {
+        self.idle.get().filter(|_| !self.heard.get())
+    }
 }
 
 /// A request of which the driver knows; dropped before it is answered, its client has gone.
@@ -150,7 +157,7 @@
         drop(listener);
         let last = self.clock.instant(last + LAST_WRITE);
         loop {
-            self.links.borrow().values().filter(|l| l.idle.get().is_some()).for_each(|l| l.tell_to_close());
+            self.links.borrow().values().filter(|l| l.idle_since().is_some()).for_each(|l| l.tell_to_close());
             let freed = tokio::time::timeout_at(last, self.freed.notified());
             if self.links.borrow().is_empty() || freed.await.is_err() {
                 return;
@@ -162,8 +169,10 @@
     fn make_room(&self) {
         let links = self.links.borrow();
         if links.len() >= self.most {
-            let idle =
-                links.values().filter(|l| !l.told.get()).filter_map(|l| l.idle.get().map(|since| (since, l)));
+            let idle = links
+                .values()
+                .filter(|l| !l.told.get())
+                .filter_map(|l| l.idle_since().map(|since| (since, l)));
             if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
                 link.tell_to_close();
             }
@@ -179,7 +188,7 @@
             let service = hyper::service::service_fn(|request| self.handle(request, &link));
             let mut http = http1::Builder::new();
             http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-            let socket = Inbound::new(stream);
+            let socket = Inbound::new(stream, link.heard.clone());
             let connection = http.serve_connection(socket.clone(), service);
             tokio::pin!(connection);
             let left = poll_fn(|cx| if link.waiting.get() { socket.poll_left(cx) } else { Poll::Pending });
@@ -193,7 +202,12 @@
                         }
                         break socket.linger().await;
                     }
-                    () = link.close.notified() => connection.as_mut().graceful_shutdown(),
+                    () = link.close.notified() => {
+                        // What has begun to come meanwhile is answered, and told that it is the last.
+                        if !link.heard.get() {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                    }
                     () = &mut left => break,
                 }
             }
@@ -211,7 +225,8 @@
         link.idle.set(None);
         let mut answer = self.answer(request, link).await;
         link.idle.set(Some(self.clock.now()));
-        if self.stopping.get() || self.links.borrow().len() >= self.most {
+        link.heard.set(false);
+        if self.stopping.get() || link.told.get() || self.links.borrow().len() >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -813,6 +813,29 @@
     }
 }
 
+/// Half a request that has come when the idle connections are closed is no idle connection's: the rest is waited for.
+#[test]
+fn sigterm_waits_for_the_rest_of_a_request_that_has_begun() {
+    let backend = Backend::start(|_| ok("x"));
+    let (mut proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let pay = request("pay", 7000);
+    for cut in [5, pay.len() - 2] {
+        let mut client = Client::open(proxy.address);
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200));
+        client.send(&pay[..cut]);
+        std::thread::sleep(Duration::from_millis(50)); // as a rule it has been read by then
+        proxy.terminate();
+        until("the listener closed", || proxy.ready() == 0);
+        client.send(&pay[cut..]);
+        let answer = client.answer().expect("an answer");
+        let body_late = cut > 5 && answer.status() == 408; // the body has less time than a loaded machine may take
+        assert!(answer.status() == 200 || body_late, "{answer:?}");
+        assert!(proxy.exit().success());
+        proxy = proxy_for(&[("a", &backend)]).0;
+    }
+}
+
 /// A connection that was accepted may have its first request on the way when the listener closes.
 #[test]
 fn sigterm_waits_for_the_first_request_of_a_connection() {
