Start and serve without tenants' settings, and name the key of what is out of its range

A site may have no tenants: customers and over_share_worth may be null or absent now, which ended the start before ("settings.customers: missing"); so may late_worth and costs.cross_zone, which count as 0. A tenant's quota of 0 is legal and refused no longer. A value out of its range was told by the module's own name ("settings: tick: expected a time above 0"), now by the key ("settings.granularity_us: ..."), on start and on SIGHUP alike.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -56,15 +56,14 @@
     let sockets = root.get("limits").get("sockets");
     let enough = Some(sockets.count()?).filter(|n| *n >= LEAST_SOCKETS);
     let (module, names) = settings::read(&settings)?;
-    module.validate().map_err(|e| format!("settings: {e}"))?;
+    module.validate().map_err(|e| format!("{}: expected {}", settings::key_of(e.field), e.expected))?;
     let limits = settings.get("limits");
     let mut longest = Micros(0);
     for class in settings.get("profiles").list()? {
         longest = longest.max(class.get("deadline_us").micros()?);
     }
     let within = settings.get("rules").get("stop_sending_within_us");
-    let within = if within.value().is_some() { within.micros()? } else { STOP_SENDING.0 };
-    let stop_sending = within.clamp(STOP_SENDING.0, STOP_SENDING.1);
+    let stop_sending = within.or(STOP_SENDING.0, Key::micros)?.clamp(STOP_SENDING.0, STOP_SENDING.1);
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
     Ok(Config {
         listen: address(&root.get("listen"))?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,6 +146,7 @@
     pub fn validate(&self) -> Result<(), ConfigError> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let above_zero = |x: f64| x > 0.0 && x.is_finite();
+        let finite = |x: f64| x >= 0.0 && x.is_finite();
         let classes = &self.classes;
         let tests = [
             (self.proxies > 0, "proxies", "at least 1"),
@@ -155,7 +156,7 @@
             (classes.iter().all(|c| c.aim_stretch >= 0.0), "aim_stretch", "at least 0"),
             (classes.iter().all(|c| above_zero(c.worth)), "worth", "a finite number above 0"),
             (classes.iter().all(|c| part(c.late_worth)), "late_worth", "a part from 0 to 1"),
-            (self.tenants.iter().all(|t| above_zero(t.quota_per_s)), "quota_per_s", "a finite rate above 0"),
+            (self.tenants.iter().all(|t| finite(t.quota_per_s)), "quota_per_s", "a finite rate of 0 or more"),
             (part(self.over_quota_worth), "over_quota_worth", "a part from 0 to 1"),
             (part(self.goal_whole), "goal_whole", "a part from 0 to 1"),
             (part(self.goal_worst_class), "goal_worst_class", "a part from 0 to 1"),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -60,6 +60,14 @@
             None => format!("{}: missing, expected {what}", self.path),
         })
     }
+    /// The value read by `read`, or this one where it is absent or null.
+    pub fn or<T>(&self, absent: T, read: impl Fn(&Key<'a>) -> Result<T, String>) -> Result<T, String> {
+        if self.value().is_some() {
+            read(self)
+        } else {
+            Ok(absent)
+        }
+    }
     /// Text.
     pub fn text(&self) -> Result<&'a str, String> {
         self.want(self.value.and_then(Value::as_str), "text")
@@ -89,6 +97,29 @@
     }
 }
 
+/// The key from which a field of the configuration is read: what is wrong is told by that.
+pub fn key_of(field: &str) -> String {
+    let key = match field {
+        "proxies" => "group_size",
+        "classes" => "profiles",
+        "aim" => "profiles[].aim_us",
+        "aim_stretch" => "profiles[].aim_stretch",
+        "worth" => "profiles[].gain",
+        "late_worth" => "profiles[].late_worth",
+        "quota_per_s" => "customers[].quota_rps",
+        "over_quota_worth" => "over_share_worth",
+        "goal_whole" => "blend.whole",
+        "goal_worst_class" => "blend.worst_class",
+        "cross_zone_cost" => "costs.cross_zone",
+        "max_attempts" => "limits.max_attempts",
+        "tick" => "granularity_us",
+        "cold_from" => "rules.cold_from",
+        "fall_multiple" => "rules.fall_multiple",
+        same => same,
+    };
+    format!("settings.{key}")
+}
+
 /// Reads the settings; unknown keys are skipped.
 pub fn read(root: &Key) -> Result<(Config, Names), String> {
     let mut names = Names::default();
@@ -129,14 +160,15 @@
         }
         classes.push(Class {
             aim: aim.micros()?,
-            aim_stretch: if stretch.value.is_some() { stretch.real()? } else { 0.0 },
+            aim_stretch: stretch.or(0.0, Key::real)?,
             effect,
             worth: class.get("gain").real()?,
-            late_worth: class.get("late_worth").real()?,
+            late_worth: class.get("late_worth").or(0.0, Key::real)?,
         });
     }
     let mut tenants = Vec::new();
-    for tenant in root.get("customers").list()? {
+    // A site may have no tenants, and then needs no worth of what is past their shares.
+    for tenant in root.get("customers").or(Vec::new(), Key::list)? {
         names.tenants.push(tenant.get("name").text()?.into());
         tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
     }
@@ -152,10 +184,10 @@
         zone,
         classes,
         tenants,
-        over_quota_worth: root.get("over_share_worth").real()?,
+        over_quota_worth: root.get("over_share_worth").or(0.0, Key::real)?,
         goal_whole: goal.get("whole").real()?,
         goal_worst_class: goal.get("worst_class").real()?,
-        cross_zone_cost: root.get("costs").get("cross_zone").real()?,
+        cross_zone_cost: root.get("costs").get("cross_zone").or(0.0, Key::real)?,
         discovery,
         live_weights: root.get("weight_source").text().is_ok_and(|w| w == "live"),
         max_attempts: limits.get("max_attempts").count()?,
