Move the watch on discovery to src/net, for a second program to share

Not taken: a crate of its own, which could not depend on the root's library while the root's program depends on it.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -1,6 +1,6 @@
 //! `$BALANCER_CONFIG` into a checked struct.
 
-use crate::discovery::{self, List};
+use beechworks::net::discovery::{self, List};
 use beechworks::settings::{self, Key, Names};
 use beechworks::Micros;
 use std::net::SocketAddr;
--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -2,8 +2,8 @@
 //! and carries out actions; which backend, whether again, whether at all is the module's to say.
 
 use crate::clock::Clock;
-use crate::discovery::Target;
 use crate::upstream::{Call, Ended, Pool, Upstream};
+use beechworks::net::discovery::Target;
 use beechworks::*;
 use bytes::Bytes;
 use hyper::Response;
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -3,12 +3,12 @@
 
 mod clock;
 mod config;
-mod discovery;
 mod driver;
 mod inbound;
 mod server;
 mod upstream;
 
+use beechworks::net::discovery;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -80,7 +80,12 @@
         index: config.known.as_ref().map(|k| k.index),
         place: f64::from(config.module.position) / f64::from(config.module.proxies),
         follow: follow.clone(),
-        inputs: sender.clone(),
+        tell: {
+            let inputs = sender.clone();
+            Box::new(move |update, targets| {
+                let _ = inputs.send(driver::Input::List(update, targets));
+            })
+        },
     };
     if let Some(known) = config.known {
         let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to backends: the pool, and one attempt to one outcome.
 
 use crate::clock::{duration, Clock};
-use crate::discovery::Target;
+use beechworks::net::discovery::Target;
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! Load-balancing decisions for a proxy in front of a fleet of HTTP servers.
 //!
 //! [`Balancer`] is a state machine without clock, network or threads: a host feeds it [`Event`]s
-//! with the time at which they happened and carries out the [`Action`]s it returns.
+//! with the time at which they happened and carries out the [`Action`]s it returns. [`net`] is no part of it:
+//! there stands what hosts need of the network in common.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -9,6 +10,7 @@
 mod ejection;
 mod interface;
 mod logic;
+pub mod net;
 pub mod settings;
 mod state;
 
