Ask discovery in time for what counts as told 6 s after it could be reached

Seen on loopback, with 470 proxies told and discovery away for 4 s:

- a proxy started without `known` never called.
The module asks when it has an event, and without a list none came; now it hears of its start with an empty list from before.
- a watch swallowed by a silent service was given up after its wait of 10 to 20 s and 1.5 s more.
The longest wait is now what the 6 s leave beside the time for a late answer (1.5 s) and for the next call (1 s): 3.5 s, half of it spread over the fleet as before.
- after a refused call a large fleet spread its next ones over 5 s; the queue and the answer came on top.
- a second silent call went through that wait as well.
Each silent call has taken its time already, by each proxy's place another one, so the next goes out at once; the whole list's time is spread by place like the watch's now.

Ruled out as a cause: the dial, which has its own limit, and pushed lists, which ask again within a second. Calls of 470 proxies, by the chosen waits: 186 a second for empty watches in an ordinary hour (32 before), 157 a second after a loss of all, 32 at most in any tenth of a second (tests/fleet.rs).

Not taken: short waits only after an outage was seen. A swallowed watch shows nothing of one.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -87,9 +87,9 @@
             })
         },
     };
-    if let Some(known) = config.known {
-        let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
-    }
+    // Without a list from before the module still has to hear of its start: only then does it ask for one.
+    let known = config.known.map(|known| known.targets).unwrap_or_default();
+    let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known));
     let shared = driver::Shared { pool, inputs: sender, follow, status };
     let driver = driver::Driver::new(config.module, config.seed, config.open_cap, shared);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,6 +56,9 @@
 pub(crate) const UNLOADED_RISE: f64 = 0.03;
 /// Time that each proxy of the fleet adds to the span over which they spread their calls after a loss, s.
 const ASK_SPREAD: f64 = 0.05;
+/// Longest wait before a call after a loss, s: what discovery had to tell by its return counts as told 6 s
+/// after that, and the other half is for the queue, for an answer, for a second call where one is refused.
+const ASK_LATEST: f64 = 3.0;
 /// Least part of the traffic that is let in, so that recovery is seen.
 const ADMIT_LEAST: f64 = 0.05;
 /// Change of the admitted part for each answer; one that is not brisk counts twice, so that it settles where
@@ -143,8 +146,9 @@
             // A lost subscription is asked for again, later each time and not in step with others: all lose
             // theirs at once, and the one service takes their calls one after another.
             (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let first = (ASK_SPREAD * f64::from(self.cfg.proxies)).min(within.secs() / 2.0);
-                let wait = (self.ask.1 * 2.0).min(within.secs() / 8.0).max(first);
+                let most = ASK_LATEST.min(within.secs() / 2.0);
+                let first = (ASK_SPREAD * f64::from(self.cfg.proxies)).min(most);
+                let wait = (self.ask.1 * 2.0).min(within.secs() / 8.0).clamp(first, most);
                 let at = now + Micros::from_secs(wait * self.dice.unit());
                 self.ask = (Some(at), wait);
                 self.wake_by(at);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -39,17 +39,23 @@
 /// which sends to a backend that drains must cease. Parts of that for the wait, and for an answer that is due.
 const PUSH_WAIT: u32 = 2;
 const PUSH_GRACE: u32 = 4;
-/// Where all proxies ask one service, each call costs it work: the longest wait, and the part of it over which
-/// the proxies of a fleet spread theirs. News answers all of them at once, so all call again at once; were their
-/// waits alike, all would miss a watch that fell silent at the same moment too, and their calls stand in one queue
-/// longer than the time in which what was missed counts as told.
-const ASK_WAIT: Duration = Duration::from_secs(20);
+/// Whatever discovery has to tell counts as told so long after it had it and could be reached, however the call for it
+/// fared (PROTOCOL, and the users' page on days at full size).
+const TOLD_WITHIN: Duration = Duration::from_secs(6);
+/// An answer of the one service that is this late does not come.
+const GRACE: Duration = Duration::from_millis(1500);
+/// What the call that follows on a silent one may take: its dial, its turn at the service, its answer.
+const NEXT_CALL: Duration = Duration::from_secs(1);
+/// Where all proxies ask one service, each call costs it work: the longest wait for news is what the rest of that time
+/// leaves, so that a watch that was swallowed shows, and the next brings what it missed, before that counts as told.
+const ASK_WAIT: Duration = TOLD_WITHIN.saturating_sub(GRACE).saturating_sub(NEXT_CALL);
+/// The part of a wait over which the proxies of a fleet spread theirs. News answers all of them at once, so all call
+/// again at once; were their waits alike, all would miss a watch that fell silent at the same moment too, and their
+/// calls stand in one queue longer than the time in which what was missed counts as told.
 const ASK_SPREAD: f64 = 0.5;
 /// The whole list waits for no news, only for its turn in the service's queue. What it tells counts as told 4 s
-/// after a signal to reload, 6 s after any other call: silence has to show before that.
+/// after a signal to reload: silence has to show before that.
 const LIST_WAIT: Duration = Duration::from_secs(2);
-/// An answer of the one service that is this late does not come.
-const GRACE: Duration = Duration::from_millis(1500);
 const BACKOFF: Duration = Duration::from_millis(50);
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
@@ -151,7 +157,10 @@
             Discovery::Push => {
                 (Duration::ZERO, self.stop_sending / PUSH_WAIT, self.stop_sending / PUSH_GRACE)
             }
-            Discovery::Subscribe(_) => (LIST_WAIT, ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * self.place), GRACE),
+            Discovery::Subscribe(_) => {
+                let spread = 1.0 - ASK_SPREAD * self.place;
+                (LIST_WAIT.mul_f64(spread), ASK_WAIT.mul_f64(spread), GRACE)
+            }
         };
         match self.index {
             None => ("/api/targets".into(), list + grace),
@@ -196,15 +205,15 @@
     pub async fn run(mut self) {
         let pushed = self.mode == Discovery::Push;
         let (mut line, mut backoff, mut watching) = (None, BACKOFF, pushed);
-        let (mut moved, mut silent) = (false, false);
+        let mut moved = false;
         loop {
             let heard =
                 if watching || self.wished().await { self.next(&mut line).await } else { Heard::Moved };
             if !matches!(heard, Heard::Told(_)) {
                 line = None;
             }
-            let (was_moved, was_silent) = (moved, silent);
-            (moved, silent) = (matches!(heard, Heard::Moved), matches!(heard, Heard::Silence));
+            let (was_moved, silent) = (moved, matches!(heard, Heard::Silence));
+            moved = matches!(heard, Heard::Moved);
             let text = match heard {
                 Heard::Moved => {
                     // The list goes on at the new address, at once and from the whole of it: the old one may have
@@ -237,10 +246,10 @@
                 self.index = None;
                 tokio::time::sleep(backoff).await;
                 backoff = (backoff * 2).min(self.stop_sending / PUSH_GRACE);
-            } else if was_moved || (silent && !was_silent) {
-                // Asked again at once, on a new connection, but not over and over. Silence tells of no
-                // service with too many callers, and what that had to say counts as told in half a second;
-                // after a move a wait for a turn would outlast the time in which the list has to come.
+            } else if was_moved || silent {
+                // Asked again at once, on a new connection. The time of the silent call has passed already, by each
+                // proxy's place another one; a further wait would outlast the time in which what was missed counts
+                // as told. After a move it would outlast the time in which the list has to come.
                 watching = true;
             } else {
                 watching = false;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -79,6 +79,11 @@
     assert!(many[..20].iter().sum::<u32>() >= 20, "some ask soon: {many:?}");
     let few = asked_again(3);
     assert_eq!(few[..2].iter().sum::<u32>(), 3, "{few:?}");
+    // A change counts as told 6 s after discovery could be reached: half of that is left for the queue and the answer.
+    // The whole fleet that is coming calls 157 times a second then, and never much more in any tenth of one.
+    let fleet = asked_again(470);
+    assert_eq!(fleet[..30].iter().sum::<u32>(), 470, "{fleet:?}");
+    assert!(fleet.iter().all(|calls| *calls <= 32), "{fleet:?}");
 }
 
 #[test]
