Let connections that bring nothing make room for new clients after 0.3 s

With every client connection taken only one that was idle after an answer was closed; those that had brought nothing stayed for the 2 s in which a head has to come. Sixteen places against 25 silent clients a second: the queue of the listener grows for ever, and a client with a request waits behind it. Now the oldest that has brought nothing for 0.3 s makes room, when there is no idle one. Ruled out: the call to discovery and the dials to backends, for which descriptors are kept; the test asserts them and the first held before.

Test: tests/proxy/crowd.rs, through the binary with 64 descriptors: discovery comes back at an address that was down, a new backend is dialled and twenty real clients are served while 25 silent ones come each second; with the server before it fails.

Not taken: closing silent ones at any age. A request follows its connection by the way there and back.

--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -43,6 +43,9 @@
 /// The rest of a request has this long after its head: a peer that never sends one whole is owed an error or a
 /// close within 3 s of connecting, whatever patience it claims.
 const BODY_TIMEOUT: Duration = Duration::from_millis(750);
+/// With every connection taken, one that has brought nothing for so long makes room: a client's request follows its
+/// connection by far less, while one that came for nothing would keep the next clients waiting for the time of a head.
+const SILENT_MOST: Duration = Duration::from_millis(300);
 /// After a failed accept (out of descriptors, say) the next is tried this much later.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
@@ -67,10 +70,10 @@
 }
 
 /// A client connection.
-#[derive(Default)]
 pub struct Link {
-    /// Since when it has been idle between requests. One that has yet to bring its first is not closed: that
-    /// may be on the way, and ending the connection would lose it.
+    /// When it was accepted.
+    opened: Time,
+    /// Since when it has been idle between requests; `None` while it has yet to bring its first.
     idle: Cell<Option<Time>>,
     told: Cell<bool>,
     /// A request of it was read whole and waits for its answer.
@@ -81,6 +84,11 @@
 }
 
 impl Link {
+    fn new(opened: Time) -> Link {
+        let (idle, told, waiting) = (Cell::default(), Cell::default(), Cell::default());
+        Link { opened, idle, told, waiting, heard: Rc::default(), close: Notify::new() }
+    }
+
     fn tell_to_close(&self) {
         self.told.set(true);
         self.close.notify_one();
@@ -90,6 +98,11 @@
     fn idle_since(&self) -> Option<Time> {
         self.idle.get().filter(|_| !self.heard.get())
     }
+
+    /// Nothing has come on it since it was accepted.
+    fn is_silent(&self) -> bool {
+        self.idle.get().is_none() && !self.heard.get()
+    }
 }
 
 /// A request of which the driver knows; dropped before it is answered, its client has gone.
@@ -130,7 +143,7 @@
         tokio::pin!(end);
         let mut last = Time(u64::MAX);
         loop {
-            self.make_room();
+            let room = self.make_room();
             tokio::select! {
                 biased;
                 () = &mut stop, if !self.stopping.get() => {
@@ -141,6 +154,7 @@
                 }
                 () = &mut end, if self.stopping.get() => break,
                 () = self.freed.notified() => {}
+                () = tokio::time::sleep_until(self.clock.instant(room)) => {}
                 accepted = listener.accept(), if self.links.borrow().len() < self.most => match accepted {
                     Ok((stream, _)) => self.clone().serve(stream),
                     Err(e) => {
@@ -165,23 +179,32 @@
         }
     }
 
-    /// With every connection taken, the one that has been idle longest is closed: new clients must get in.
-    fn make_room(&self) {
+    /// With every connection taken one is closed, for new clients must get in: that which has been idle longest, or
+    /// else the oldest of those that have brought nothing for long enough. Tells when to look again.
+    fn make_room(&self) -> Time {
+        const NEVER: Time = Time(u64::MAX);
         let links = self.links.borrow();
-        if links.len() >= self.most {
-            let idle = links
-                .values()
-                .filter(|l| !l.told.get())
-                .filter_map(|l| l.idle_since().map(|since| (since, l)));
-            if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
-                link.tell_to_close();
-            }
+        if links.len() < self.most {
+            return NEVER;
+        }
+        let untold = || links.values().filter(|l| !l.told.get());
+        let idle = untold().filter_map(|l| l.idle_since().map(|since| (since, l)));
+        if let Some((_, link)) = idle.min_by_key(|(since, _)| *since) {
+            link.tell_to_close();
+            return NEVER;
         }
+        let Some(link) = untold().filter(|l| l.is_silent()).min_by_key(|l| l.opened) else { return NEVER };
+        let due = link.opened + Micros(SILENT_MOST.as_micros() as u64);
+        if due > self.clock.now() {
+            return due;
+        }
+        link.tell_to_close();
+        NEVER
     }
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (id, link) = (self.number(), Rc::new(Link::default()));
+        let (id, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
         self.links.borrow_mut().insert(id, link.clone());
         tokio::task::spawn_local(async move {
             let _gone = Gone { id, server: &self };
@@ -203,6 +226,9 @@
                         break socket.linger().await;
                     }
                     () = link.close.notified() => {
+                        if link.is_silent() {
+                            break; // it has asked for nothing, and is owed nothing but its end
+                        }
                         // What has begun to come meanwhile is answered, and told that it is the last.
                         if !link.heard.get() {
                             connection.as_mut().graceful_shutdown();
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! The built proxy over loopback sockets: what must hold whatever clients, backends and discovery do.
 
 mod away;
+mod crowd;
 mod sockets;
 use serde_json::{json, Value};
 use sockets::*;
--- a/tests/proxy/sockets.rs
+++ b/tests/proxy/sockets.rs
@@ -167,7 +167,11 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    pub fn start_at(address: SocketAddr) -> Discovery {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let discovery = Discovery { address, news: Arc::default(), calls: Arc::default() };
         let all = discovery.clone();
