Hold cold backends to the rule's own limit, each proxy to its part of it

The renewed test: a cold backend falls when all proxies together send it more than N + 2 x root of N + 2 requests of mean work in a window.

Cause: fall_limit took a kind's speed from its flow over its readiness. Where nearly all are cold that flow is the very one that has to be bounded, and five requests a latency were believed. Beside it FALL_FLOOR let each proxy send three in a window, however many share the backend. Ruled out: the shares and the window's placement, which are even.

Now, in src/ramp.rs: N comes from what a backend does in any case, one request at a time in the least mean time seen; the draw's mean stays three spreads below the limit; and each proxy counts against its own part of four fifths of the limit, shared among those whose windows cover the backend. What is left of a whole request goes round by turns; where even one each were too many, one each in several windows, the first in turn.

Not taken: a hard bound by turns alone. At half of the limit it refused cold backends what they can do; and a further allowance from what warm backends carried, which is 1.3 of capacity in an overload.

--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -2,7 +2,8 @@
 //! window on each kind. Driven by `src/logic.rs`, through `src/interface.rs` like all decisions.
 
 use crate::interface::*;
-use crate::logic::{HOLD, LIKELY_RAMP};
+use crate::logic::HOLD;
+use crate::ramp::LIKELY_RAMP;
 use crate::state::*;
 use std::collections::BTreeMap;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod interface;
 mod logic;
 pub mod net;
+mod ramp;
 pub mod settings;
 mod state;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
 use crate::interface::*;
+use crate::ramp::LIKELY_RAMP;
 use crate::state::*;
 use std::collections::BTreeSet;
 
@@ -31,15 +32,6 @@
 const STUCK_AFTER: f64 = 12.0;
 /// The pool's allowance for chance, in spreads of a random count with the pool's mean.
 const POOL_SPREAD: f64 = 1.5;
-/// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
-pub(crate) const FALL_MARGIN: f64 = 0.8;
-/// Part of the longest ramp that a backend likely needs to warm: that one is the bound over all kinds.
-pub(crate) const LIKELY_RAMP: f64 = 0.7;
-/// Least budget of one proxy in a window: where its part is below one request the random draw by readiness
-/// keeps the sum of all proxies near a cold backend's capacity; less would throw its share at warm ones.
-pub(crate) const FALL_FLOOR: f64 = 3.0;
-/// Spreads of a random count that the whole traffic to a cold backend stays under the limit.
-pub(crate) const FALL_SPREADS: f64 = 3.0;
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
 const RETRY_RATIO: f64 = 0.2;
 /// Least worth of a client's repeat beside a first try: some still come in time.
@@ -331,21 +323,20 @@
     /// Each backend's part of this proxy's traffic: its kind's share by readiness where the window covers it.
     fn allot(&mut self, now: Time) {
         self.place_window(now);
-        let epoch = now.0 / Micros::from_secs(TURN).0;
+        let turns = Micros::from_secs(TURN);
         let proxies = f64::from(self.cfg.proxies);
         let work = self.hint.get();
         let mine = self.peers.values().map(|p| p.hold(work)).sum::<f64>() / proxies;
         self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
         self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
         let biases = self.biases();
-        let bounds: Vec<_> = self.peers.values().map(|p| (self.due(p), self.fall_part(now, p))).collect();
-        for ((&id, p), (due, most)) in self.peers.iter_mut().zip(bounds) {
+        let bound = |p: &Peer| (self.due(p), self.fall_part(now, p), self.turn(p.entry.id, now, turns));
+        let bounds: Vec<_> = self.peers.values().map(bound).collect();
+        for ((&id, p), (due, most, coin)) in self.peers.iter_mut().zip(bounds) {
             let bias = biases.get(&p.entry.zone).copied().unwrap_or(1.0);
             let k = self.kinds.entry(p.entry.kind).or_default();
             // Half of the room for all goes by that part, half evenly. With many proxies it is below one:
             // turns, by position and the backend's mark, keep the sum at the hold; one each would crowd all.
-            let turn = id.0.wrapping_add(u64::from(self.cfg.position)).wrapping_add(epoch);
-            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
             let fair = p.hold(work) / (proxies * k.width);
             p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
@@ -412,7 +403,7 @@
             _ => true,
         };
         let fresh = r.sent.iter().all(|s| s.to.id != p.entry.id && known(s));
-        p.entry.state == BackendState::Ready && fresh && self.budget(now, p) >= self.work(r.class)
+        p.entry.state == BackendState::Ready && fresh && self.ramp_allows(now, p, self.work(r.class))
     }
 
     /// Worth to the goal of serving a request of each class, for each unit of work.
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,8 +2,7 @@
 
 use crate::interface::*;
 use crate::logic::{
-    FALL_FLOOR, FALL_MARGIN, FALL_SPREADS, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY,
-    UNLOADED_PART, UNLOADED_RISE,
+    HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_PART, UNLOADED_RISE,
 };
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -115,6 +114,8 @@
     pub share: f64,
     /// Lowest mean latency of late, s: that of an unloaded backend.
     pub unloaded: Option<f64>,
+    /// The same without the caution of the start, known from the first answer on.
+    pub quickest: Option<f64>,
     /// Highest weight that the list gave one of its backends: that of an idle one.
     pub idle_weight: f64,
     /// Part of its ring that this proxy's window covers.
@@ -340,34 +341,6 @@
         }
     }
 
-    /// Work that all proxies may send to a cold backend in a fall window; infinite once it is warm.
-    pub(crate) fn fall_limit(&self, now: Time, p: &Peer) -> f64 {
-        let warmth = warmth(&self.cfg, now, &p.entry, 1.0);
-        if warmth >= 1.0 {
-            return f64::INFINITY;
-        }
-        let fair = self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies) / self.peers.len() as f64;
-        // Beside few ready backends the flow overshoots; one that holds no more than the hold is no faster than this.
-        let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + HOLD) / t));
-        let speed = self.kinds.get(&p.entry.kind).and_then(known).unwrap_or(fair);
-        self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs()
-    }
-
-    /// The greatest part of the traffic that leaves chance no room to push the backend over: the limit is
-    /// some spreads of a random count above the mean.
-    pub(crate) fn fall_part(&self, now: Time, p: &Peer) -> f64 {
-        let root =
-            ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
-        let rate = self.rate.per_s().unwrap_or(0.0) * f64::from(self.cfg.proxies);
-        root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
-    }
-
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
-    pub(crate) fn budget(&self, now: Time, p: &Peer) -> f64 {
-        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
-    }
-
     /// Takes news of the list into the records; true if anything but weights changed.
     pub(crate) fn take_list(&mut self, update: ListUpdate, list: Vec<Backend>) -> bool {
         let mut changed = false;
@@ -397,6 +370,8 @@
             let prior = self.period.secs() * UNLOADED_PART;
             let risen = k.unloaded.map_or(prior, |t| t * (1.0 + UNLOADED_RISE * passed));
             k.unloaded = Some(k.latency.shrunk(prior, LATE_SAMPLES).min(risen));
+            let risen = k.quickest.map_or(f64::MAX, |t| t * (1.0 + UNLOADED_RISE * passed));
+            k.quickest = k.latency.get().map(|t| t.min(risen));
             let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
             // Smoothed: the flow that this proxy computes is its own view; unsmoothed a kind with a large share
             // looks ever faster, and proxies swing together.
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -16,10 +16,11 @@
     stays_reviewable("src/logic.rs", 100..=500);
     stays_reviewable("src/aperture.rs", 20..=120);
     stays_reviewable("src/ejection.rs", 20..=150);
+    stays_reviewable("src/ramp.rs", 20..=120);
     let deploy =
         std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/balancer.toml")).unwrap();
     let policy = deploy.lines().find(|l| l.starts_with("policy")).unwrap();
     let named = policy.split('"').filter(|part| part.ends_with(".rs")).collect::<Vec<_>>();
-    let bounded = ["src/logic.rs", "src/aperture.rs", "src/ejection.rs"];
+    let bounded = ["src/logic.rs", "src/aperture.rs", "src/ejection.rs", "src/ramp.rs"];
     assert_eq!(named, bounded, "each file of decisions has its bound here");
 }
