Test that nothing begins for a hundred clients that left at once, during the end as well

A client that closes has gone: an attempt that begins more than 0.1 s later is a break from the third on. The program keeps the term already; these would catch its loss: a hundred held requests, and a hundred whose further attempt still dials, with and without cancelling, while the process runs and after SIGTERM. With the watch on the client's leaving taken out of the attempt, the second finds bytes written. The bound on noticing is 2 s, for a loaded machine.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod away;
 mod crowd;
+mod leaving;
 mod sockets;
 use serde_json::{json, Value};
 use sockets::*;
