--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -66,8 +66,8 @@
             let rested = p.spent.last().is_none_or(|last| now - last.0 >= apart);
             return rested && p.entry.booted.is_none_or(|boot| now >= boot + first);
         }
-        // What is left of a whole request goes round by turns of one window. Any window touches two of them, so
-        // that half as many have theirs.
+        // What is left of a whole request goes round by turns of one window. Any window touches two of them,
+        // so that half as many have theirs.
         let turn = f64::from(self.turn(p.entry.id, now, self.cfg.fall_window) < part.fract() / 2.0);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
         spent / work + 1.0 <= part.floor() + turn
