Let the module take another configuration and keep what it learned

Cause: the module took its configuration at the start alone, so that of a replaced file nothing but discovery could come into force.

Change: Event::Configured brings a whole configuration and, for each of its classes and tenants, the number it had before: the host knows names, the module numbers. Means of classes that stay, buckets, kinds, rates, ejections, what cold backends were sent and the admitted part stay; shares and the window are solved at once. Where the fleet shrinks to so few that answers are not gauged any more, all is let in again: nothing would raise the admitted part. A pending call of discovery keeps to the new time; one that does not validate changes nothing.

A request holds a copy of its class and the attempts allowed as it came: no effect, aim, window or number of attempts changes under it. Its index tells only what is learned of the class. Classes that are no more stand behind those in force while something of theirs is in hand, and are dropped with the next configuration after that.

Not taken: a shared pointer to each class (one allocation for each of thousands, no fewer lookups); indices that are never used again (they add up over weeks).

Tests: tests/configured.rs; its property test replaces configurations among other events and judges each request by the terms that it came with (tests/common).

--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -25,7 +25,8 @@
 
 impl Balancer {
     /// What an outcome says of the backend, its kind and its class.
-    pub(crate) fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+    pub(crate) fn learn(&mut self, now: Time, attempt: &Attempt, end: &AttemptEnd) {
+        let id = attempt.to;
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
         p.unreachable = match end.outcome {
@@ -39,11 +40,11 @@
                 p.errors *= 1.0 - ERROR_STEP;
                 p.forgive();
                 let kind = p.entry.kind;
-                self.served(kind, class, end.latency);
+                self.served(kind, attempt.class, end.latency);
             }
             Outcome::Cancelled | Outcome::NeverSent | Outcome::Full => {}
             // A heavy request alone is no illness: other answers came back meanwhile.
-            Outcome::TimedOut if p.answered >= sent => {}
+            Outcome::TimedOut if p.answered >= attempt.at => {}
             // One connection that breaks is no dead process: that breaks them all, and refuses the next.
             // Nor is one refused: a full table refuses too. After an ejection the first refused is enough.
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
@@ -88,21 +89,21 @@
             self.peers.get_mut(&id).into_iter().for_each(|p| p.silent = false);
         }
         let mut attempts = std::mem::take(&mut self.attempts);
-        for (backend, class, sent, late) in attempts.values_mut() {
+        for a in attempts.values_mut() {
             // Late is known once the time is up: an overloaded backend answers only much later.
-            let limit = *sent + self.brisk(*backend, *class);
-            if !*late && now >= limit {
-                *late = true;
+            let limit = a.at + self.brisk(a);
+            if !a.late && now >= limit {
+                a.late = true;
                 self.gauge(false);
             }
-            let usual = self.usual(*class);
-            let from = *sent + usual.times(SILENT_AFTER);
+            let usual = self.usual(a.class, a.aim);
+            let from = a.at + usual.times(SILENT_AFTER);
             let next = if now < from { from } else { now + usual };
-            self.wake_by(if *late { next } else { next.min(limit) });
-            let peer = self.peers.get_mut(backend).filter(|p| now >= from && p.answered <= *sent);
+            self.wake_by(if a.late { next } else { next.min(limit) });
+            let peer = self.peers.get_mut(&a.to).filter(|p| now >= from && p.answered <= a.at);
             if let Some(p) = peer {
                 p.silent = true;
-                self.silent.push(*backend);
+                self.silent.push(a.to);
             }
         }
         self.attempts = attempts;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -67,7 +67,7 @@
     TimerToken(u64);
 }
 
-/// Everything told at start-up.
+/// Everything told at start-up; [`Event::Configured`] replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// How many proxies share the traffic, this one included.
@@ -345,6 +345,17 @@
     pub settled: bool,
 }
 
+/// Another configuration, and which of its classes and tenants were there before: a number says nothing of that.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigUpdate {
+    /// What is to be in force.
+    pub config: Config,
+    /// For each of its classes the number under the configuration that it replaces; what was learned of it stays.
+    pub class_was: Vec<Option<ClassId>>,
+    /// The same for each of its tenants.
+    pub tenant_was: Vec<Option<TenantId>>,
+}
+
 /// What the host tells the module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -357,6 +368,9 @@
     },
     /// A client's request: it is owed one final answer.
     Request(Arrival),
+    /// Another configuration is in force: later events number classes and tenants by it. Requests in hand keep the
+    /// terms that they came with. One that does not [validate](Config::validate) changes nothing.
+    Configured(Box<ConfigUpdate>),
     /// The answer has begun to stream: the attempt is the client's now and no time-out runs.
     StreamStarted {
         /// The request.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -107,6 +107,7 @@
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Request(arrival) => self.request(now, arrival),
+            Event::Configured(update) => self.configured(now, *update),
             Event::StreamStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
                     r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
@@ -163,8 +164,29 @@
         }
     }
 
+    /// Another configuration comes into force; what was learned stays.
+    fn configured(&mut self, now: Time, update: ConfigUpdate) {
+        if let Err(e) = update.config.validate() {
+            return self.log(now, format!("configuration refused: {e}"));
+        }
+        let before = self.cfg.discovery;
+        self.take_config(update);
+        self.ask = match (before, self.cfg.discovery, self.ask) {
+            (_, Discovery::Push, _) => (None, 0.0),
+            (Discovery::Push, _, _) => (Some(now), 0.0),
+            (_, Discovery::Subscribe(within), (at, wait)) => {
+                (at.map(|at| at.min(now + within.times(0.5))), wait)
+            }
+        };
+        if !self.gauged() {
+            self.admit = 1.0; // nothing would raise it again
+        }
+        self.wake_by(now);
+        self.solve(now);
+    }
+
     fn request(&mut self, now: Time, new: Arrival) {
-        let Some(c) = self.cfg.classes.get(new.class.0) else { return };
+        let Some(c) = self.cfg.classes[..self.listed].get(new.class.0).cloned() else { return };
         if self.requests.contains_key(&new.request) {
             return;
         }
@@ -183,7 +205,9 @@
         let again = if new.repeat { c.late_worth.max(LATE_FLOOR) } else { 1.0 };
         let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
-        self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
+        let (terms, max_attempts) = (c, self.cfg.max_attempts);
+        let request = Request { class, terms, max_attempts, came, aim, deadline, value, streaming, sent };
+        self.requests.insert(new.request, request);
         self.low += (f64::from(value < LOW) - self.low) / KIND_SAMPLES;
         // What is shed reaches no backend: the formula's rate is of what is let in.
         let admitted = self.admitted(class, value);
@@ -216,17 +240,22 @@
     }
 
     /// Until when an attempt's answer is brisk.
-    pub(crate) fn brisk(&self, backend: BackendId, class: usize) -> Micros {
-        let aim = self.cfg.classes[class].aim.secs();
-        let kind = self.peers.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
-        let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(class));
+    pub(crate) fn brisk(&self, attempt: &Attempt) -> Micros {
+        let aim = attempt.aim.secs();
+        let kind = self.peers.get(&attempt.to).and_then(|p| self.kinds.get(&p.entry.kind));
+        let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(attempt.class));
         Micros::from_secs(unloaded + (aim - unloaded).max(0.0) * BRISK)
     }
 
+    /// Whether answers tell what is let in: the rooms of few proxies bound what a backend holds well enough.
+    fn gauged(&self) -> bool {
+        f64::from(self.cfg.proxies) > HOLD
+    }
+
     /// Many proxies cannot bound what a backend holds; each learns from its answers that all hold too much.
     pub(crate) fn gauge(&mut self, brisk: bool) {
-        if f64::from(self.cfg.proxies) <= HOLD {
-            return; // the rooms of so few proxies bound it well enough
+        if !self.gauged() {
+            return;
         }
         let step = ADMIT_STEP * (ADMIT_RATE / self.rate.per_s().unwrap_or(1.0)).min(1.0);
         // By answers, not by arrivals: the slow return after deep shedding lets choked backends rest.
@@ -236,17 +265,17 @@
 
     fn ended(&mut self, now: Time, mut end: AttemptEnd) {
         let id = end.request;
-        let Some((backend, class, sent, late)) = self.attempts.remove(&(id, end.attempt)) else { return };
+        let Some(attempt) = self.attempts.remove(&(id, end.attempt)) else { return };
         self.out -= 1;
-        if end.outcome == Outcome::Cancelled && end.latency > self.cfg.classes[class].aim {
+        if end.outcome == Outcome::Cancelled && end.latency > attempt.aim {
             // Called off when its client left after all that time: as much against the backend as a time-out.
             end.outcome = Outcome::TimedOut;
         }
         let judged = matches!(end.outcome, Outcome::Ok | Outcome::TimedOut);
-        if judged && !late {
-            self.gauge(end.outcome == Outcome::Ok && end.latency < self.brisk(backend, class));
+        if judged && !attempt.late {
+            self.gauge(end.outcome == Outcome::Ok && end.latency < self.brisk(&attempt));
         }
-        self.learn(now, backend, class, sent, &end);
+        self.learn(now, &attempt, &end);
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
             (s.out, s.never_ran) = (false, end.outcome.never_ran());
@@ -271,8 +300,8 @@
         self.suspect(now);
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
-            let usual = self.usual(r.class);
-            let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
+            let usual = self.usual(r.class, r.terms.aim);
+            let late_pays = r.terms.late_worth > 0.0 && !r.sent.is_empty();
             let last_start = if late_pays { r.deadline } else { r.aim };
             let lost = |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.silent);
             let lost = matches!(&r.sent[..], [only] if lost(only));
@@ -291,7 +320,7 @@
                     if self.may_send(now, r) && !self.held.contains(&id) {
                         self.held.push(id);
                     }
-                } else if self.cfg.cancel && self.cfg.classes[r.class].effect != Effect::Unsafe {
+                } else if self.cfg.cancel && r.terms.effect != Effect::Unsafe {
                     // Where no copy may run beside it, the first is called back to make way for the next.
                     self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(0) });
                 }
@@ -357,16 +386,16 @@
     /// Until when all attempts of the request have to be written: repeats are discarded for a time that
     /// counts from whichever of them is sent first, and one that still dials may be overtaken by the next.
     fn repeats_end(&self, r: &Request) -> Option<Time> {
-        let Effect::Keyed(_, window) = self.cfg.classes[r.class].effect else { return None };
+        let Effect::Keyed(_, window) = r.terms.effect else { return None };
         let first = r.sent.iter().filter(|s| !s.never_ran).map(|s| s.at).min()?;
         Some(Time((first + window).0.saturating_sub(self.cfg.tick.0)))
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
-        let safe = |s: &Sent| s.never_ran || self.cfg.classes[r.class].effect != Effect::Unsafe;
+        let safe = |s: &Sent| s.never_ran || r.terms.effect != Effect::Unsafe;
         let known = self.repeats_end(r).is_none_or(|end| now < end);
         let alone = self.cfg.second_copies || !r.out();
-        known && alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+        known && alone && r.sent.len() < r.max_attempts as usize && r.sent.iter().all(safe)
     }
 
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
@@ -402,7 +431,7 @@
     /// Whether the rules let the backend have this request.
     fn fits(&self, now: Time, p: &Peer, r: &Request) -> bool {
         // A repeat outside the scope that knows the key would run twice.
-        let known = |s: &Sent| match self.cfg.classes[r.class].effect {
+        let known = |s: &Sent| match r.terms.effect {
             Effect::Keyed(KeyScope::Zone, _) => s.never_ran || s.to.zone == p.entry.zone,
             Effect::Keyed(KeyScope::Cell, _) => s.never_ran || s.to.cell == p.entry.cell,
             _ => true,
@@ -416,8 +445,8 @@
         let share = |i: usize| self.classes[i].asked.max(1e-3);
         let served = |i: usize| self.classes[i].in_time / share(i);
         let classes = self.cfg.classes.iter().enumerate();
-        let mean: f64 = classes.clone().map(|(i, c)| c.worth * share(i)).sum();
-        let worst = (0..self.classes.len()).map(served).fold(f64::MAX, f64::min);
+        let mean: f64 = classes.clone().take(self.listed).map(|(i, c)| c.worth * share(i)).sum();
+        let worst = (0..self.listed).map(served).fold(f64::MAX, f64::min);
         let density = |(i, c): (usize, &Class)| {
             let lowest = if served(i) <= worst + 0.02 { self.cfg.goal_worst_class / share(i) } else { 0.0 };
             (self.cfg.goal_whole * c.worth / mean + lowest) / self.work(i)
@@ -456,8 +485,9 @@
                 self.out += 1;
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
-                self.attempts.insert((id, no), (backend, r.class, now, false));
-                self.wake_by(now + self.brisk(backend, r.class));
+                let attempt = Attempt { to: backend, class: r.class, aim: r.terms.aim, at: now, late: false };
+                self.wake_by(now + self.brisk(&attempt));
+                self.attempts.insert((id, no), attempt);
                 let by = self.repeats_end(&r).filter(|end| *end > now); // else none will follow it
                 self.actions.push(Action::Dispatch { request: id, backend, by });
             } else if sendable {
@@ -475,7 +505,7 @@
     /// Final answer for a request that will not be served.
     fn give_up(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let free = matches!(self.cfg.classes[r.class].effect, Effect::Free | Effect::Keyed(KeyScope::All, _));
+        let free = matches!(r.terms.effect, Effect::Free | Effect::Keyed(KeyScope::All, _));
         let harmless = free || r.sent.iter().all(|s| s.never_ran);
         let (refused, failed) = (Action::Refuse { request: id }, Action::Fail { request: id });
         self.actions.push(if harmless { refused } else { failed });
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,9 +214,24 @@
     pub never_ran: bool,
 }
 
+/// An attempt that is out, with or without its request.
+pub(crate) struct Attempt {
+    pub to: BackendId,
+    pub class: usize,
+    /// The aim of the class as the request came.
+    pub aim: Micros,
+    pub at: Time,
+    /// It is known to be no brisk one.
+    pub late: bool,
+}
+
 /// A request that is owed an answer.
 pub(crate) struct Request {
     pub class: usize,
+    /// What its class was when it came, and the attempts allowed then: a configuration that comes into force later
+    /// neither makes a repeat harmless nor forbids what was promised.
+    pub terms: Class,
+    pub max_attempts: u32,
     pub came: Time,
     pub aim: Time,
     pub deadline: Time,
@@ -240,13 +255,21 @@
     cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
 }
 
+/// The least aim, at which estimates move: no answer is told late by less.
+fn least_aim(classes: &[Class]) -> Micros {
+    classes.iter().map(|c| c.aim).min().unwrap_or_default()
+}
+
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
     pub(crate) cfg: Config,
     pub(crate) dice: Dice,
     pub(crate) peers: BTreeMap<BackendId, Peer>,
     pub(crate) kinds: BTreeMap<KindId, Kind>,
+    /// One for each of `cfg.classes`, in which those no longer in force stand behind the `listed` ones for as long as
+    /// something of theirs is in hand.
     pub(crate) classes: Vec<ClassState>,
+    pub(crate) listed: usize,
     pub(crate) overall: Mean,
     /// Work that clients expect of a request, s on a standard core.
     pub(crate) hint: Mean,
@@ -258,7 +281,7 @@
     /// Part of the traffic that is let in, and the part of the arrivals that is worth little.
     pub(crate) admit: f64,
     pub(crate) low: f64,
-    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time, bool)>,
+    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
     /// Attempts of this proxy that are out, and how many may be.
     pub(crate) out: usize,
     pub(crate) pool: f64,
@@ -285,6 +308,7 @@
             peers: BTreeMap::new(),
             kinds: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
+            listed: cfg.classes.len(),
             overall: Mean::default(),
             hint: Mean::default(),
             buckets: cfg.tenants.iter().map(|_| Bucket::default()).collect(),
@@ -299,8 +323,7 @@
             silent: Vec::new(),
             rate: Rate::default(),
             extra: 0.0,
-            // No answer is told late by less than an aim: estimates move no faster.
-            period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
+            period: least_aim(&cfg.classes),
             solved: Time(0),
             due: Time(0),
             timer: (0, None),
@@ -322,9 +345,8 @@
     }
 
     /// What a served request of the class usually takes; before any was served, a quarter of its aim.
-    pub(crate) fn usual(&self, class: usize) -> Micros {
-        let known = self.classes[class].latency.get();
-        known.map_or(self.cfg.classes[class].aim.times(0.25), Micros::from_secs)
+    pub(crate) fn usual(&self, class: usize, aim: Micros) -> Micros {
+        self.classes[class].latency.get().map_or(aim.times(0.25), Micros::from_secs)
     }
 
     /// A class's work beside the mean, so far as latency tells it.
@@ -368,6 +390,38 @@
         (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
     }
 
+    /// Puts a configuration in the place of the one held. What was learned of a class or a tenant that stays, and what
+    /// is in hand, goes under its new number.
+    pub(crate) fn take_config(&mut self, update: ConfigUpdate) {
+        let ConfigUpdate { config, class_was, tenant_was } = update;
+        let old = std::mem::replace(&mut self.cfg, config);
+        let learned = old.classes.into_iter().zip(std::mem::take(&mut self.classes));
+        let mut learned: Vec<Option<(Class, ClassState)>> = learned.map(Some).collect();
+        let mut moved = vec![0; learned.len()];
+        (self.listed, self.period) = (self.cfg.classes.len(), least_aim(&self.cfg.classes));
+        for class in 0..self.listed {
+            let was = class_was.get(class).copied().flatten().map_or(usize::MAX, |w| w.0);
+            let known = learned.get_mut(was).and_then(Option::take);
+            moved.get_mut(was).into_iter().for_each(|at| *at = class);
+            self.classes.push(known.map(|k| k.1).unwrap_or_default());
+        }
+        let requests = self.requests.values_mut().map(|r| &mut r.class);
+        for class in requests.chain(self.attempts.values_mut().map(|a| &mut a.class)) {
+            if let Some((terms, state)) = learned[*class].take() {
+                moved[*class] = self.cfg.classes.len();
+                self.cfg.classes.push(terms);
+                self.classes.push(state);
+            }
+            *class = moved[*class];
+        }
+        let mut buckets = std::mem::take(&mut self.buckets);
+        let mut kept = |tenant: usize| {
+            let was = tenant_was.get(tenant).copied().flatten()?;
+            buckets.get_mut(was.0).map(std::mem::take)
+        };
+        self.buckets = (0..self.cfg.tenants.len()).map(|t| kept(t).unwrap_or_default()).collect();
+    }
+
     /// Takes news of the list into the records; true if anything but weights changed.
     pub(crate) fn take_list(&mut self, update: ListUpdate, list: Vec<Backend>) -> bool {
         let mut changed = false;
--- /dev/null
+++ b/tests/configured.rs
@@ -0,0 +1,392 @@
+//! A configuration replaced while the module runs: what comes into force, what stays, what requests in hand keep.
+
+mod common;
+use beechworks::*;
+use common::{backend, class, serve, Host};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+/// A host of these classes and four backends of one kind, with retries to spend.
+fn host(classes: Vec<Class>) -> Host {
+    let mut host = Host::new(Config { classes, ..Config::example() }, 3);
+    host.members(ListUpdate::Full, (0..4).map(|i| backend(i, 0, 0)).collect());
+    serve(&mut host, 30, 0, |_| 20_000);
+    host
+}
+
+fn numbers(was: &[Option<usize>]) -> Vec<Option<ClassId>> {
+    was.iter().map(|c| c.map(ClassId)).collect()
+}
+
+/// What becomes of a request whose first attempt ends in a reset after its class has another effect.
+fn after_a_reset(came_with: Effect, then: Effect) -> (usize, Option<&'static str>) {
+    let mut host = host(vec![class(Effect::Free), class(came_with)]);
+    let id = host.arrive(1, 900_000);
+    host.reconfigure(Config { classes: vec![class(Effect::Free), class(then)], ..host.cfg.clone() });
+    host.end(id, 0, Outcome::Reset);
+    host.advance(10_000);
+    (host.requests[&id].tries.len(), host.requests[&id].answer)
+}
+
+#[test]
+fn a_request_in_hand_keeps_the_effect_that_it_came_with() {
+    assert_eq!(after_a_reset(Effect::Unsafe, Effect::Free), (1, Some("failed")));
+    assert_eq!(after_a_reset(Effect::Free, Effect::Unsafe), (2, None));
+    // The next one goes by the new effect.
+    let mut host = host(vec![class(Effect::Free)]);
+    host.reconfigure(Config { classes: vec![class(Effect::Unsafe)], ..host.cfg.clone() });
+    let id = host.arrive(0, 900_000);
+    host.end(id, 0, Outcome::Reset);
+    host.advance(10_000);
+    assert_eq!(host.requests[&id].answer, Some("failed"));
+}
+
+#[test]
+fn a_request_in_hand_keeps_the_attempts_and_the_aim_that_it_came_with() {
+    for (before, then, tries) in [(1, 3, 1), (3, 1, 3)] {
+        let mut host = host(vec![class(Effect::Free)]);
+        host.reconfigure(Config { max_attempts: before, ..host.cfg.clone() });
+        let id = host.arrive(0, 900_000);
+        host.reconfigure(Config { max_attempts: then, ..host.cfg.clone() });
+        for no in 0..3 {
+            host.end(id, no, Outcome::Full);
+            host.advance(5_000);
+        }
+        assert_eq!(host.requests[&id].tries.len(), tries, "{before} attempts, then {then}");
+    }
+    // Held for want of a backend: given up by the aim that it came with, not by that of those after it.
+    let mut host = host(vec![class(Effect::Free)]);
+    host.members(ListUpdate::Full, Vec::new());
+    let long = host.arrive(0, 900_000);
+    let short = Class { aim: Micros(100_000), ..class(Effect::Free) };
+    host.reconfigure(Config { classes: vec![short], ..host.cfg.clone() });
+    let brief = host.arrive(0, 900_000);
+    host.advance(200_000);
+    assert_eq!((host.requests[&long].answer, host.requests[&brief].answer), (None, Some("refused")));
+}
+
+#[test]
+fn classes_may_leave_come_and_change_places_while_requests_of_them_are_in_hand() {
+    let slow = Class { aim: Micros(800_000), ..class(Effect::Unsafe) };
+    let mut host = host(vec![class(Effect::Free), slow.clone(), class(Effect::Free)]);
+    let leaving = host.arrive(1, 900_000);
+    let moving = host.arrive(2, 900_000);
+    let classes = vec![class(Effect::Unsafe), class(Effect::Free)];
+    host.configure(Config { classes, ..host.cfg.clone() }, numbers(&[None, Some(2)]), Vec::new());
+    // A number beyond the classes in force names none, also while the class that left is remembered.
+    let stranger = Arrival {
+        request: RequestId(1_000_000),
+        class: ClassId(2),
+        tenant: None,
+        time_left: Micros(500_000),
+        work_hint: None,
+        repeat: false,
+    };
+    host.event(Event::Request(stranger));
+    assert!(host.last.iter().all(|a| !matches!(a, Action::Dispatch { .. })), "{:?}", host.last);
+    let new = host.arrive(0, 900_000);
+    host.configure(Config { classes: vec![slow], ..host.cfg.clone() }, numbers(&[None]), Vec::new());
+    host.end(leaving, 0, Outcome::Reset);
+    host.end(moving, 0, Outcome::Reset);
+    host.end(new, 0, Outcome::Ok);
+    host.advance(10_000);
+    let how = |id| (host.requests[&id].tries.len(), host.requests[&id].answer);
+    assert_eq!((how(leaving), how(new)), ((1, Some("failed")), (1, Some("served"))));
+    assert_eq!(how(moving), (2, None));
+    // An attempt that outlives its request and its class.
+    host.event(Event::ClientGone { request: moving });
+    host.requests.get_mut(&moving).expect("known").answer = Some("left");
+    host.configure(
+        Config { classes: vec![class(Effect::Free)], ..host.cfg.clone() },
+        numbers(&[None]),
+        vec![],
+    );
+    host.end(moving, 1, Outcome::Ok);
+    assert_eq!(serve(&mut host, 5, 0, |_| 20_000).len(), 5);
+}
+
+/// The mean of a class's latency shows in how long before its aim a request of it is given up.
+#[test]
+fn what_was_learned_of_a_class_goes_with_its_name() {
+    let given_up_after = |was: Option<usize>| {
+        let mut host = host(vec![class(Effect::Free), class(Effect::Free)]);
+        serve(&mut host, 60, 1, |_| 300_000);
+        let classes = vec![class(Effect::Free)];
+        host.configure(Config { classes, ..host.cfg.clone() }, numbers(&[was]), Vec::new());
+        host.members(ListUpdate::Full, Vec::new());
+        let id = host.arrive(0, 900_000);
+        (1..).find(|_| {
+            host.advance(10_000);
+            host.requests[&id].answer.is_some()
+        })
+    };
+    let (slow, quick, new) = (given_up_after(Some(1)), given_up_after(Some(0)), given_up_after(None));
+    assert!(slow < new && new < quick, "after {slow:?}, {new:?} and {quick:?} hundredths of a second");
+}
+
+#[test]
+fn an_ejected_backend_stays_ejected() {
+    let mut host = host(vec![class(Effect::Free)]);
+    for _ in 0..40 {
+        let id = host.arrive(0, 900_000);
+        host.end_all(|to| if to == 2 { Outcome::ConnectFailed } else { Outcome::Ok });
+        host.advance(5_000);
+        host.end_all(|_| Outcome::Ok);
+        if host.logs.iter().any(|l| l.contains("backend 2 ejected")) {
+            break;
+        }
+        assert!(host.requests[&id].answer.is_some());
+    }
+    assert!(host.logs.iter().any(|l| l.contains("backend 2 ejected")), "{:?}", host.logs);
+    host.reconfigure(Config { cross_zone_cost: 0.1, ..host.cfg.clone() });
+    let chosen = serve(&mut host, 20, 0, |_| 5_000);
+    assert!(chosen.iter().all(|b| *b != 2), "{chosen:?}");
+}
+
+/// Requests that a backend which has just started is sent in its first moments, where something happens now and
+/// then that has the shares solved anew.
+fn sent_to_a_cold_backend(now_and_then: impl Fn(&mut Host, Backend)) -> usize {
+    let patient = Class { aim: Micros(5_000_000), ..class(Effect::Free) };
+    // A backend that falls over soon, so that it is this that bounds what it is sent.
+    let cfg = Config { classes: vec![patient], proxies: 1, fall_multiple: 0.05, ..Config::example() };
+    let mut host = Host::new(cfg, 5);
+    let cold = Backend { booted: Some(host.now), ..backend(0, 0, 0) };
+    host.burst(100, 0, 6_000_000);
+    host.members(ListUpdate::Full, vec![cold.clone()]);
+    for turn in 0..20 {
+        host.serve_all(20_000);
+        host.serve_all(20_000);
+        now_and_then(&mut host, Backend { cell: CellId(turn), ..cold.clone() });
+    }
+    host.requests.values().map(|r| r.tries.len()).sum()
+}
+
+#[test]
+fn what_a_cold_backend_was_sent_stays_counted() {
+    let told = |host: &mut Host, entry| host.members(ListUpdate::Changes, vec![entry]);
+    let reloads = |host: &mut Host, _| host.reconfigure(host.cfg.clone());
+    let (without, with) = (sent_to_a_cold_backend(told), sent_to_a_cold_backend(reloads));
+    assert!((1..=15).contains(&without), "{without} requests");
+    assert!(with <= without + 2, "{with} requests, {without} without");
+}
+
+#[test]
+fn a_tenant_that_stays_keeps_its_bucket_and_a_new_one_has_a_full_one() {
+    let tenants = vec![Tenant { quota_per_s: 3.0 }, Tenant { quota_per_s: 3.0 }];
+    let cfg = Config { proxies: 1, over_quota_worth: 0.0, tenants, ..Config::example() };
+    // What is past its quota finds no place while others fill the room; alone it tells by the order of service.
+    let served_first = |was: Option<usize>| {
+        let mut host = Host::new(cfg.clone(), 4);
+        host.members(ListUpdate::Full, vec![backend(0, 0, 0)]);
+        for _ in 0..8 {
+            let id = host.arrive_for(0, 400_000, Some(TenantId(1)));
+            host.advance(5_000);
+            host.end(id, 0, Outcome::Ok);
+        }
+        let tenants = vec![Tenant { quota_per_s: 3.0 }];
+        let was = vec![was.map(TenantId)];
+        host.configure(Config { tenants, ..host.cfg.clone() }, numbers(&[Some(0)]), was);
+        let list = vec![Backend { state: BackendState::Draining, ..backend(0, 0, 0) }];
+        host.members(ListUpdate::Full, list);
+        let within = host.arrive(0, 400_000);
+        host.advance(5_000);
+        let tenants_own = host.arrive_for(0, 400_000, Some(TenantId(0)));
+        host.members(ListUpdate::Full, vec![backend(0, 0, 0)]);
+        let order = host.last.iter().find_map(|a| match a {
+            Action::Dispatch { request, .. } => Some(*request),
+            _ => None,
+        });
+        assert!(order == Some(within) || order == Some(tenants_own), "{:?}", host.last);
+        order == Some(tenants_own)
+    };
+    // Newest first among equals: the tenant's own leads unless its bucket is empty.
+    assert_eq!((served_first(Some(1)), served_first(Some(0)), served_first(None)), (false, true, true));
+}
+
+#[test]
+fn the_size_of_the_fleet_and_the_place_in_it_come_into_force() {
+    let list: Vec<Backend> = (0..60).map(|i| backend(i, 0, 0)).collect();
+    let used = |host: &mut Host| {
+        let chosen = serve(host, 60, 0, |_| 20_000);
+        chosen.into_iter().collect::<std::collections::BTreeSet<u32>>()
+    };
+    let mut host = Host::new(Config { proxies: 3, ..Config::example() }, 6);
+    host.members(ListUpdate::Full, list);
+    assert!(used(&mut host).len() > 20);
+    host.reconfigure(Config { proxies: 100, position: 7, ..host.cfg.clone() });
+    let (seventh, all) = (used(&mut host), host.list.len());
+    assert!(seventh.len() <= 12, "{seventh:?} of {all}");
+    host.reconfigure(Config { position: 8, ..host.cfg.clone() });
+    assert!(used(&mut host).is_disjoint(&seventh));
+    host.reconfigure(Config { proxies: 3, position: 0, ..host.cfg.clone() });
+    assert!(used(&mut host).len() > 20);
+}
+
+/// In a large fleet late answers lower what is let in, and good ones raise it. In a small one neither does: what was
+/// lowered before would stay so for ever.
+#[test]
+fn a_fleet_that_shrinks_to_few_lets_all_in_again() {
+    let mut host = Host::new(Config { proxies: 100, ..Config::example() }, 6);
+    host.members(ListUpdate::Full, (0..20).map(|i| backend(i, 0, 0)).collect());
+    for _ in 0..200 {
+        host.arrive(0, 900_000);
+        host.serve_all(450_000);
+    }
+    host.reconfigure(Config { proxies: 3, ..host.cfg.clone() });
+    for _ in 0..50 {
+        let id = host.arrive(0, 900_000);
+        assert_eq!(host.requests[&id].answer, None, "shed");
+        host.serve_all(10_000);
+    }
+}
+
+#[test]
+fn how_often_discovery_must_be_asked_comes_into_force() {
+    let slow = Config { discovery: Discovery::Subscribe(Micros(20_000_000)), ..Config::example() };
+    let mut host = Host::new(slow.clone(), 6);
+    host.members(ListUpdate::Cached, vec![backend(0, 0, 0)]);
+    assert_eq!(host.follows, 1);
+    host.reconfigure(Config { discovery: Discovery::Subscribe(Micros(1_000_000)), ..slow });
+    host.advance(700_000);
+    assert_eq!(host.follows, 2, "unanswered, it is asked for again");
+    host.reconfigure(Config { discovery: Discovery::Push, ..host.cfg.clone() });
+    host.advance(5_000_000);
+    assert_eq!(host.follows, 2, "a pushed list is not asked for");
+    host.reconfigure(Config { discovery: Discovery::Subscribe(Micros(1_000_000)), ..host.cfg.clone() });
+    assert_eq!(host.follows, 3);
+}
+
+#[test]
+fn a_configuration_that_is_not_sound_changes_nothing() {
+    let mut host = host(vec![class(Effect::Free)]);
+    let good = host.cfg.clone();
+    host.configure(Config { classes: Vec::new(), ..good.clone() }, Vec::new(), Vec::new());
+    host.cfg = good;
+    assert!(host.logs.iter().any(|l| l.contains("classes: expected at least one class")), "{:?}", host.logs);
+    assert_eq!(serve(&mut host, 5, 0, |_| 20_000).len(), 5);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(usize, u64),
+    End(usize, Outcome),
+    Gone(usize),
+    Pass(u64),
+    Member(u32, BackendState),
+    Configure(u32, Vec<usize>),
+    Malformed(Vec<usize>),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        6 => Just(Outcome::Ok),
+        1 => Just(Outcome::Error),
+        1 => Just(Outcome::Full),
+        1 => Just(Outcome::ConnectFailed),
+        2 => Just(Outcome::Reset),
+        1 => Just(Outcome::NeverSent),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop_oneof![3 => Just(BackendState::Ready), 1 => Just(BackendState::Draining)];
+    let some = || proptest::collection::vec(0..6usize, 1..7);
+    prop_oneof![
+        10 => (0..6usize, 0..2_000_000u64).prop_map(|(c, l)| Step::Arrive(c, l)),
+        8 => (0..64usize, outcome()).prop_map(|(n, o)| Step::End(n, o)),
+        1 => (0..64usize).prop_map(Step::Gone),
+        8 => (0..150_000u64).prop_map(Step::Pass),
+        2 => (0..8u32, state).prop_map(|(b, s)| Step::Member(b, s)),
+        3 => (0..64u32, some()).prop_map(|(bits, classes)| Step::Configure(bits, classes)),
+        1 => some().prop_map(Step::Malformed),
+    ]
+}
+
+/// The classes by name: each name means another effect with another sort of settings.
+fn named(name: usize, bits: u32) -> Class {
+    let window = Micros(300_000);
+    let effects = [
+        Effect::Free,
+        Effect::Unsafe,
+        Effect::Keyed(KeyScope::Zone, window),
+        Effect::Keyed(KeyScope::Cell, Micros(100_000)),
+        Effect::Keyed(KeyScope::All, window),
+        Effect::Free,
+    ];
+    let effect = effects[(name + bits as usize) % effects.len()];
+    let aim = Micros(if bits & 1 == 0 { 400_000 } else { 100_000 });
+    Class { aim, late_worth: if bits & 4 == 0 { 0.3 } else { 0.0 }, ..class(effect) }
+}
+
+fn settings(bits: u32, names: &[usize]) -> Config {
+    let mut cfg = Config::example();
+    cfg.classes = names.iter().map(|n| named(*n, bits)).collect();
+    cfg.goal_worst_class = 0.3;
+    cfg.second_copies = bits & 1 == 0;
+    cfg.cancel = bits & 2 == 0;
+    cfg.max_attempts = 1 + bits % 4;
+    cfg.proxies = if bits & 8 == 0 { 3 } else { 400 };
+    cfg.position = bits % 3;
+    cfg.cross_zone_cost = if bits & 16 == 0 { 0.05 } else { 0.0 };
+    if bits & 32 == 0 {
+        cfg.discovery = Discovery::Subscribe(Micros(2_000_000));
+    }
+    cfg
+}
+
+fn play(seed: u64, steps: &[Step]) {
+    let mut names: Vec<usize> = (0..6).collect();
+    let mut host = Host::new(settings(0, &names), seed);
+    host.members(ListUpdate::Cached, (0..7).map(|i| backend(i, i % 3, i % 2)).collect());
+    for step in steps {
+        match step {
+            Step::Arrive(class, left) => drop(host.arrive(class % names.len(), *left)),
+            Step::End(n, outcome) => {
+                let out = host.out();
+                if let Some((id, no)) = out.get(n % out.len().max(1)).copied() {
+                    host.end(id, no, *outcome);
+                }
+            }
+            Step::Gone(n) => {
+                let open = host.requests.iter().filter(|(_, r)| r.answer.is_none()).map(|(id, _)| *id);
+                if let Some(id) = open.cycle().nth(*n).filter(|id| host.requests[id].answer.is_none()) {
+                    host.requests.get_mut(&id).expect("known").answer = Some("left");
+                    host.event(Event::ClientGone { request: id });
+                }
+            }
+            Step::Pass(span) => host.advance(*span),
+            Step::Member(b, state) => {
+                let entry = Backend { state: *state, ..backend(*b, b % 3, b % 2) };
+                host.members(ListUpdate::Changes, vec![entry]);
+            }
+            Step::Configure(bits, chosen) => {
+                let mut new = chosen.clone();
+                new.sort_unstable_by_key(|n| (n * 7 + *bits as usize) % 6);
+                new.dedup();
+                let was = |n: &usize| names.iter().position(|old| old == n).map(ClassId);
+                let class_was = new.iter().map(was).collect();
+                host.configure(settings(*bits, &new), class_was, Vec::new());
+                names = new;
+            }
+            Step::Malformed(was) => {
+                // Numbers that stand twice, that were never given, too few of them: forgotten, at the worst.
+                let was = was.iter().map(|n| Some(ClassId(n * 3))).collect();
+                host.configure(host.cfg.clone(), was, vec![Some(TenantId(9))]);
+            }
+        }
+    }
+    host.advance(3_000_000);
+    assert!(host.requests.values().all(|r| r.answer.is_some()), "a request was left without an answer");
+}
+
+#[test]
+fn the_rules_hold_while_configurations_come_and_go() {
+    let config = ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]));
+    let all = (any::<u64>(), proptest::collection::vec(step(), 1..250));
+    let run = runner.run(&all, |(seed, steps)| {
+        play(seed, &steps);
+        Ok(())
+    });
+    run.unwrap();
+}
