Put all of a replaced configuration in force on SIGHUP, read beside the requests

Cause: on SIGHUP the file was read on the event loop, and of it only discovery came into force.

Change (src/bin/gaugesaddle/reload.rs): a thread of its own reads and checks the file and builds everything; at most one read at a time, signals meanwhile bring one more after it. Then server, driver, pool and watch get it in one step. The driver hears of it through the queue in which requests come, so that those before it stand before it and those after it after: numbers of classes are never misread, and no versions have to be translated. A request whose body comes after the step is read again. What was replaced goes back to the thread to be freed. The end of the process waits for no read. listen, seed, limits.sockets and settings.discovery keep their values and say so. Names are found by hash, of tenants with one name the first as before; a wrong value is repeated in a message up to 200 bytes.

Not taken: spawn_blocking (the runtime's end waits for it, and so would the process's); a version with each arrival and tables to translate it.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -4,6 +4,7 @@
 use beechworks::settings::{self, Key, Names};
 use beechworks::Micros;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Everything that the deployment tells a proxy.
 pub struct Config {
@@ -14,6 +15,14 @@
     pub sockets: usize,
     /// The list of backends as this proxy last had it.
     pub known: Option<List>,
+    pub settings: Arc<Settings>,
+}
+
+/// What the platform tells a proxy of its task. It may change while the proxy runs and is replaced as a whole.
+#[derive(PartialEq)]
+pub struct Settings {
+    /// Counts those in force since the start, from 1.
+    pub version: u64,
     pub module: beechworks::Config,
     pub names: Names,
     /// Requests that may be open at once; more are turned away before the module.
@@ -65,12 +74,8 @@
     let within = settings.get("rules").get("stop_sending_within_us");
     let stop_sending = within.or(STOP_SENDING.0, Key::micros)?.clamp(STOP_SENDING.0, STOP_SENDING.1);
     let hex = u64::from_str_radix(seed.text()?, 16).ok();
-    Ok(Config {
-        listen: address(&root.get("listen"))?,
-        discovery: address(&root.get("discovery"))?,
-        seed: seed.want(hex, "up to 16 hex digits")?,
-        sockets: sockets.want(enough, "at least 64")? as usize,
-        known: known.value().map(|_| discovery::list(&known)).transpose()?,
+    let settings = Settings {
+        version: 1,
         module,
         names,
         open_cap: limits.get("open_cap").count()? as usize,
@@ -78,5 +83,13 @@
         dial_timeout: limits.get("dial_timeout_us").micros()?,
         stop_sending,
         longest,
+    };
+    Ok(Config {
+        listen: address(&root.get("listen"))?,
+        discovery: address(&root.get("discovery"))?,
+        seed: seed.want(hex, "up to 16 hex digits")?,
+        sockets: sockets.want(enough, "at least 64")? as usize,
+        known: known.value().map(|_| discovery::list(&known)).transpose()?,
+        settings: Arc::new(settings),
     })
 }
--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -2,6 +2,7 @@
 //! and carries out actions; which backend, whether again, whether at all is the module's to say.
 
 use crate::clock::Clock;
+use crate::config::Settings;
 use crate::upstream::{Call, Ended, Pool, Upstream};
 use beechworks::net::discovery::Target;
 use beechworks::*;
@@ -12,6 +13,7 @@
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
+use std::sync::{mpsc::SyncSender, Arc};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 
@@ -43,10 +45,19 @@
     Left(RequestId),
     Ended(RequestId, AttemptNo, Ended),
     List(ListUpdate, Vec<Target>),
+    Configured(Configured),
     /// The process is to end: every request has its answer by then.
     Stop(Time),
 }
 
+/// Other settings. Inputs before it were read under those that it replaces, inputs after it under these.
+pub struct Configured {
+    pub settings: Arc<Settings>,
+    pub update: Box<ConfigUpdate>,
+    /// Takes the settings replaced: to free the names of thousands of classes and tenants takes too long here.
+    pub retired: SyncSender<Arc<Settings>>,
+}
+
 /// An attempt that is out.
 struct Attempt {
     sent: Time,
@@ -84,9 +95,8 @@
 
 pub struct Driver {
     clock: Clock,
-    config: Config,
+    settings: Arc<Settings>,
     seed: u64,
-    open_cap: usize,
     balancer: Balancer,
     pool: Rc<Pool>,
     backends: HashMap<BackendId, Rc<Upstream>>,
@@ -157,14 +167,13 @@
 }
 
 impl Driver {
-    pub fn new(config: Config, seed: u64, open_cap: usize, shared: Shared) -> Result<Driver, ConfigError> {
+    pub fn new(settings: Arc<Settings>, seed: u64, shared: Shared) -> Result<Driver, ConfigError> {
         let Shared { pool, inputs, follow, status } = shared;
         Ok(Driver {
             clock: pool.clock,
-            balancer: Balancer::new(config.clone(), seed)?,
-            config,
+            balancer: Balancer::new(settings.module.clone(), seed)?,
+            settings,
             seed,
-            open_cap,
             pool,
             backends: HashMap::new(),
             requests: HashMap::new(),
@@ -244,6 +253,7 @@
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
             Input::List(update, targets) => self.list(update, targets),
+            Input::Configured(new) => self.configured(new),
             Input::Stop(by) => self.stop(by),
         }
     }
@@ -258,8 +268,16 @@
         self.events.push(Event::Stop { by });
     }
 
+    /// The module hears of it in turn, after the requests that came before it.
+    fn configured(&mut self, new: Configured) {
+        self.pool.set_times(new.settings.dial_timeout, new.settings.conn_idle);
+        let old = std::mem::replace(&mut self.settings, new.settings);
+        let _ = new.retired.send(old);
+        self.events.push(Event::Configured(new.update));
+    }
+
     fn arrived(&mut self, new: Arrived) {
-        if self.requests.len() >= self.open_cap {
+        if self.requests.len() >= self.settings.open_cap {
             // It reaches neither the module nor a backend.
             let _ = new.reply.send(Answer::Refused(self.balancer.retry_after()));
             return;
@@ -372,7 +390,7 @@
                 self.events.push(logged(&r.call, end));
             }
             if !settled {
-                self.overdue.push_back((at + Micros(GRACE_TICKS * self.config.tick.0), request));
+                self.overdue.push_back((at + Micros(GRACE_TICKS * self.settings.module.tick.0), request));
             }
             self.forget(request);
         }
@@ -401,7 +419,8 @@
             return;
         }
         // Ticks lie on a grid: counted from each turn, every late wake-up would put off all that follow.
-        self.turn = Time(now.0 - now.0 % self.config.tick.0) + self.config.tick;
+        let tick = self.settings.module.tick;
+        self.turn = Time(now.0 - now.0 % tick.0) + tick;
         for mut event in std::mem::take(&mut self.events) {
             if let Event::Request(new) = &mut event {
                 // Counted from the turn: the wait for it must not put off the module's idea of the deadline.
@@ -428,7 +447,7 @@
             self.requests.len()
         );
         self.seed = self.seed.wrapping_add(1);
-        match Balancer::new(self.config.clone(), self.seed) {
+        match Balancer::new(self.settings.module.clone(), self.seed) {
             Ok(balancer) => self.balancer = balancer,
             Err(e) => tracing::error!("the module refused its configuration: {e}"),
         }
@@ -521,10 +540,21 @@
     async fn an_attempt_after_the_answer_ends_under_its_own_number() {
         let clock = Clock::new();
         let (inputs, _taken) = mpsc::unbounded_channel();
-        let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
+        let second = Micros(1_000_000);
+        let pool = Rc::new(Pool::new(clock, second, second, 8));
         let (follow, status) = (Rc::default(), Rc::default());
-        let mut driver =
-            Driver::new(Config::example(), 1, 8, Shared { pool, inputs, follow, status }).expect("sound");
+        let settings = Settings {
+            version: 1,
+            module: Config::example(),
+            names: Default::default(),
+            open_cap: 8,
+            conn_idle: second,
+            dial_timeout: second,
+            stop_sending: second,
+            longest: second,
+        };
+        let shared = Shared { pool, inputs, follow, status };
+        let mut driver = Driver::new(Arc::new(settings), 1, shared).expect("sound");
         let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
         let call = Rc::new(Call::new(hyper::Request::new(()), Bytes::new()));
         let deadline = clock.now() + Micros(1_000_000);
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -5,16 +5,16 @@
 mod config;
 mod driver;
 mod inbound;
+mod reload;
 mod server;
 mod upstream;
 
 use beechworks::net::discovery;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
@@ -42,7 +42,7 @@
 async fn serve(config: config::Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
@@ -56,14 +56,12 @@
     let (sender, inputs) = mpsc::unbounded_channel();
     let (follow, status) = (Rc::new(Notify::new()), Rc::new(driver::Status::default()));
     let serving = status.clone();
-    let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
+    let settings = &config.settings;
+    let pool = Rc::new(upstream::Pool::new(clock, settings.dial_timeout, settings.conn_idle, backends));
     let server = Rc::new(server::Server {
         clock,
-        names: config.names,
-        classes: config.module.classes.clone(),
-        tick: config.module.tick,
+        settings: RefCell::new(settings.clone()),
         most: clients,
-        longest: config.longest,
         inputs: sender.clone(),
         status: status.clone(),
         next: Cell::new(0),
@@ -72,13 +70,12 @@
         freed: Notify::new(),
     });
     let (moved, address) = watch::channel(config.discovery);
+    let terms = Rc::new(Cell::new(reload::watch_terms(settings)));
     let watch = discovery::Watch {
         address,
-        mode: config.module.discovery,
-        dial_timeout: clock::duration(config.dial_timeout),
-        stop_sending: clock::duration(config.stop_sending),
+        mode: settings.module.discovery,
+        terms: terms.clone(),
         index: config.known.as_ref().map(|k| k.index),
-        place: f64::from(config.module.position) / f64::from(config.module.proxies),
         follow: follow.clone(),
         tell: {
             let inputs = sender.clone();
@@ -87,11 +84,12 @@
             })
         },
     };
+    let fixed = reload::Fixed::of(&config);
     if let Some(known) = config.known {
         let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
     }
     let shared = driver::Shared { pool, inputs: sender, follow, status };
-    let driver = driver::Driver::new(config.module, config.seed, config.open_cap, shared);
+    let driver = driver::Driver::new(config.settings, config.seed, shared);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
     let driver = tokio::task::spawn_local(driver.run(inputs));
     tokio::task::spawn_local(async move {
@@ -102,7 +100,8 @@
         serving.serving.set(false);
     });
     tokio::task::spawn_local(watch.run());
-    tokio::task::spawn_local(reloads(reload, config.listen, moved));
+    let reload = reload::Reload { fixed, server: server.clone(), moved, terms };
+    tokio::task::spawn_local(reload.run(hangup));
     let stop = async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -112,20 +111,3 @@
     server.run(listener, stop).await;
     Ok(())
 }
-
-/// On SIGHUP the configuration is read again and discovery may move; all else holds until a restart. A file that
-/// cannot be used changes nothing.
-async fn reloads(mut hangup: Signal, listen: SocketAddr, moved: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        match config::load() {
-            Ok(new) => {
-                if new.listen != listen {
-                    tracing::warn!("SIGHUP: listen stays {listen} until a restart");
-                }
-                tracing::info!("SIGHUP: discovery is {}", new.discovery);
-                moved.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
-            }
-            Err(text) => tracing::error!("SIGHUP: the configuration held stays: {text}"),
-        }
-    }
-}
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,11 +1,11 @@
 //! The client side: connections, the form of requests, answers.
 
 use crate::clock::{duration, Clock};
+use crate::config::Settings;
 use crate::driver::{Answer, Arrived, Input, Status};
 use crate::inbound::Inbound;
 use crate::upstream::{strip, Call, BODY_BYTES, CORRELATION, TIME_LEFT};
-use beechworks::settings::Names;
-use beechworks::{Class, Effect, Micros, RequestId, Time};
+use beechworks::{Effect, Micros, RequestId, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -19,6 +19,7 @@
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -51,13 +52,10 @@
 /// What the handlers of all connections share.
 pub struct Server {
     pub clock: Clock,
-    pub names: Names,
-    pub classes: Vec<Class>,
-    pub tick: Micros,
+    /// Replaced in one step with the input that tells the driver: nobody keeps hold of it over a wait.
+    pub settings: RefCell<Arc<Settings>>,
     /// Client connections that may be open.
     pub most: usize,
-    /// The longest time that a client waits.
-    pub longest: Micros,
     pub inputs: mpsc::UnboundedSender<Input>,
     pub status: Rc<Status>,
     pub next: Cell<u64>,
@@ -135,7 +133,8 @@
                 biased;
                 () = &mut stop, if !self.stopping.get() => {
                     self.stopping.set(true);
-                    last = self.clock.now() + self.longest.min(LAST_DEADLINE) + LAST_ANSWER;
+                    let longest = self.settings.borrow().longest;
+                    last = self.clock.now() + longest.min(LAST_DEADLINE) + LAST_ANSWER;
                     let _ = self.inputs.send(Input::Stop(last));
                     end.as_mut().reset(tokio::time::Instant::now() + STOP_ACCEPTING);
                 }
@@ -243,7 +242,7 @@
         }
         let came = self.clock.now();
         let (mut head, body) = request.into_parts();
-        let form = match self.read(&head, body.size_hint().exact()) {
+        let mut form = match read(&self.settings.borrow(), &head, body.size_hint().exact()) {
             Ok(form) => form,
             Err(text) => return plain(StatusCode::BAD_REQUEST, text),
         };
@@ -260,6 +259,14 @@
             Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
             Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
         };
+        // Its last byte has come: class, tenant and terms are those in force now, and the driver takes it before it
+        // hears of others.
+        if form.version != self.settings.borrow().version {
+            form = match read(&self.settings.borrow(), &head, Some(body.len() as u64)) {
+                Ok(form) => form,
+                Err(text) => return plain(StatusCode::BAD_REQUEST, text),
+            };
+        }
         strip(&mut head.headers);
         let mut sent = Request::new(());
         *sent.method_mut() = head.method;
@@ -274,7 +281,7 @@
             id,
             class: form.class,
             tenant: form.tenant,
-            deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
+            deadline: came + Micros(form.time_left.0.saturating_sub(form.margin.0)),
             work_hint: form.work_hint,
             repeat: form.repeat,
             call,
@@ -303,49 +310,55 @@
             }
         }
     }
+}
 
-    /// What the module needs to know of a request; a message if its form is wrong.
-    fn read(&self, head: &Parts, length: Option<u64>) -> Result<Form, &'static str> {
-        let headers = &head.headers;
-        let name = text(headers, &CLASS).ok_or("expected X-Service-Class")?;
-        let class = self.names.class(name).ok_or("X-Service-Class: unknown class")?;
-        if head.uri.path().split('/').nth(1) != Some(name) {
-            return Err("expected the class as the first part of the path");
-        }
-        let keyed = headers.contains_key(&IDEMPOTENCY);
-        let fits = match self.classes[class.0].effect {
-            Effect::Free => head.method == Method::GET && length == Some(0),
-            Effect::Keyed(..) => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST && !keyed,
-        };
-        if !fits {
-            return Err("the method, the body or Idempotency-Key does not fit the class");
-        }
-        if !headers.contains_key(&CORRELATION) {
-            return Err("expected X-Correlation-Id");
-        }
-        let tenant = match text(headers, &TENANT) {
-            _ if !self.names.has_tenants() => None,
-            Some(name) => Some(self.names.tenant(name).ok_or("X-Account: unknown tenant")?),
-            None => return Err("expected X-Account"),
-        };
-        let left = number(headers, &TIME_LEFT)?.ok_or("expected X-Time-Left-Ms")?;
-        Ok(Form {
-            class,
-            tenant,
-            time_left: Micros(left.saturating_mul(1000)),
-            work_hint: number(headers, &HINT)?.map(Micros),
-            repeat: text(headers, &REPEAT) == Some("1"),
-        })
+/// What the module needs to know of a request; a message if its form is wrong.
+fn read(settings: &Settings, head: &Parts, length: Option<u64>) -> Result<Form, &'static str> {
+    let (headers, Settings { names, module, .. }) = (&head.headers, settings);
+    let name = text(headers, &CLASS).ok_or("expected X-Service-Class")?;
+    let class = names.class(name).ok_or("X-Service-Class: unknown class")?;
+    if head.uri.path().split('/').nth(1) != Some(name) {
+        return Err("expected the class as the first part of the path");
+    }
+    let keyed = headers.contains_key(&IDEMPOTENCY);
+    let fits = match module.classes[class.0].effect {
+        Effect::Free => head.method == Method::GET && length == Some(0),
+        Effect::Keyed(..) => head.method == Method::POST && keyed,
+        Effect::Unsafe => head.method == Method::POST && !keyed,
+    };
+    if !fits {
+        return Err("the method, the body or Idempotency-Key does not fit the class");
+    }
+    if !headers.contains_key(&CORRELATION) {
+        return Err("expected X-Correlation-Id");
     }
+    let tenant = match text(headers, &TENANT) {
+        _ if !names.has_tenants() => None,
+        Some(name) => Some(names.tenant(name).ok_or("X-Account: unknown tenant")?),
+        None => return Err("expected X-Account"),
+    };
+    let left = number(headers, &TIME_LEFT)?.ok_or("expected X-Time-Left-Ms")?;
+    Ok(Form {
+        version: settings.version,
+        class,
+        tenant,
+        time_left: Micros(left.saturating_mul(1000)),
+        margin: Micros(MARGIN_TICKS * module.tick.0),
+        work_hint: number(headers, &HINT)?.map(Micros),
+        repeat: text(headers, &REPEAT) == Some("1"),
+    })
 }
 
 const TOO_LARGE: &str = "the body is over 64 KiB";
 
 struct Form {
+    /// Of the settings under which it was read.
+    version: u64,
     class: beechworks::ClassId,
     tenant: Option<beechworks::TenantId>,
     time_left: Micros,
+    /// So long before that time is over the answer is due.
+    margin: Micros,
     work_hint: Option<Micros>,
     repeat: bool,
 }
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -248,8 +248,9 @@
 /// What all attempts share.
 pub struct Pool {
     pub clock: Clock,
-    pub dial_timeout: Micros,
-    idle_limit: Micros,
+    /// A connection that is not up after this time counts as failed.
+    dial_timeout: Cell<Micros>,
+    idle_limit: Cell<Micros>,
     sockets: Rc<Cell<usize>>,
     most: usize,
 }
@@ -257,14 +258,22 @@
 impl Pool {
     /// `most`: sockets that it may hold, idle ones included.
     pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, most: usize) -> Pool {
-        let idle_limit = conn_idle.times(IDLE_PART).min(IDLE_MOST);
-        Pool { clock, dial_timeout, idle_limit, sockets: Rc::default(), most }
+        let (dial, idle, sockets) = (Cell::default(), Cell::default(), Rc::default());
+        let pool = Pool { clock, dial_timeout: dial, idle_limit: idle, sockets, most };
+        pool.set_times(dial_timeout, conn_idle);
+        pool
+    }
+
+    /// Other times for the connections that are opened or found idle from now on.
+    pub fn set_times(&self, dial_timeout: Micros, conn_idle: Micros) {
+        self.dial_timeout.set(dial_timeout);
+        self.idle_limit.set(conn_idle.times(IDLE_PART).min(IDLE_MOST));
     }
 
     /// Closes the connections that have stood idle for too long, or that the other side has closed.
     pub async fn sweep(&self, upstream: &Upstream) {
         let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
-        let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
+        let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.get().0));
         kept.retain(|(since, _)| *since > oldest);
         for (since, mut link) in kept {
             if link.alive().await && upstream.open.get() {
@@ -284,7 +293,7 @@
         loop {
             let (since, mut link) = upstream.take_idle(self.clock.now())?;
             tokio::time::sleep_until(self.clock.instant(since + SETTLE)).await;
-            if self.clock.now() - since < self.idle_limit && link.alive().await {
+            if self.clock.now() - since < self.idle_limit.get() && link.alive().await {
                 return Some(link);
             }
         }
@@ -296,7 +305,7 @@
         }
         self.sockets.set(self.sockets.get() + 1);
         let slot = Slot(self.sockets.clone());
-        let dialled = tokio::time::timeout(duration(self.dial_timeout), TcpStream::connect(to)).await;
+        let dialled = tokio::time::timeout(duration(self.dial_timeout.get()), TcpStream::connect(to)).await;
         let stream = match dialled {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::NeverSent),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,20 +125,27 @@
     list(&Key::root(&value))
 }
 
+/// What of the settings the watch goes by; from its next call on where it changes.
+#[derive(Clone, Copy)]
+pub struct Terms {
+    /// A connection that is not up after this time does not come up.
+    pub dial_timeout: Duration,
+    /// So soon after the news sends to a backend that drains must cease.
+    pub stop_sending: Duration,
+    /// This proxy's place in its fleet, from 0 up to 1.
+    pub place: f64,
+}
+
 /// Where discovery is and how it is used.
 pub struct Watch {
     /// It may move while the proxy runs.
     pub address: watch::Receiver<SocketAddr>,
     /// Whether the list is pushed or asked for.
     pub mode: Discovery,
-    /// A connection that is not up after this time does not come up.
-    pub dial_timeout: Duration,
-    /// So soon after the news sends to a backend that drains must cease.
-    pub stop_sending: Duration,
+    /// They may change while the proxy runs.
+    pub terms: Rc<Cell<Terms>>,
     /// The version last had.
     pub index: Option<u64>,
-    /// This proxy's place in its fleet, from 0 up to 1.
-    pub place: f64,
     /// The module asks for changes; a pushed list is watched unasked.
     pub follow: Rc<Notify>,
     /// Is called with all news of the list, in order.
@@ -147,11 +155,10 @@
 impl Watch {
     /// What the next call asks for, the whole list or what is newer than the version held, and when it is lost.
     fn next_call(&self) -> (String, Duration) {
+        let Terms { stop_sending, place, .. } = self.terms.get();
         let (list, wait, grace) = match self.mode {
-            Discovery::Push => {
-                (Duration::ZERO, self.stop_sending / PUSH_WAIT, self.stop_sending / PUSH_GRACE)
-            }
-            Discovery::Subscribe(_) => (LIST_WAIT, ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * self.place), GRACE),
+            Discovery::Push => (Duration::ZERO, stop_sending / PUSH_WAIT, stop_sending / PUSH_GRACE),
+            Discovery::Subscribe(_) => (LIST_WAIT, ASK_WAIT.mul_f64(1.0 - ASK_SPREAD * place), GRACE),
         };
         match self.index {
             None => ("/api/targets".into(), list + grace),
@@ -165,7 +172,7 @@
         let (path, limit) = self.next_call();
         tracing::debug!("discovery: asked for {path}");
         // An agent that never answers must not hold the watch: every call has its time.
-        let call = tokio::time::timeout(limit, call(address, self.dial_timeout, &path, line));
+        let call = tokio::time::timeout(limit, call(address, self.terms.get().dial_timeout, &path, line));
         tokio::pin!(call);
         loop {
             tokio::select! {
@@ -236,7 +243,7 @@
                 // An agent that starts again may count from anew; the whole list costs it nothing.
                 self.index = None;
                 tokio::time::sleep(backoff).await;
-                backoff = (backoff * 2).min(self.stop_sending / PUSH_GRACE);
+                backoff = (backoff * 2).min(self.terms.get().stop_sending / PUSH_GRACE);
             } else if was_moved || (silent && !was_silent) {
                 // Asked again at once, on a new connection, but not over and over. Silence tells of no
                 // service with too many callers, and what that had to say counts as told in half a second;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,12 +2,13 @@
 
 use crate::interface::*;
 use serde_json::Value;
+use std::collections::HashMap;
 
-/// Names of classes and tenants in the order of their numbers.
-#[derive(Default)]
+/// Names of classes and tenants, and their numbers. Of tenants that share a name the first has it.
+#[derive(Default, PartialEq)]
 pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    classes: HashMap<Box<str>, ClassId>,
+    tenants: HashMap<Box<str>, TenantId>,
 }
 
 /// The number of an address, place or kind: the same in every process, whatever lists it has seen.
@@ -20,7 +21,7 @@
 impl Names {
     /// The number of a class.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|n| n == name).map(ClassId)
+        self.classes.get(name).copied()
     }
 
     /// Whether requests name a tenant.
@@ -29,8 +30,35 @@
     }
     /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|n| n == name).map(TenantId)
+        self.tenants.get(name).copied()
     }
+
+    /// The replacement of a configuration with the names `old` by this one, whose names these are.
+    pub fn update(&self, old: &Names, config: Config) -> ConfigUpdate {
+        let (mut class_was, mut tenant_was) =
+            (vec![None; config.classes.len()], vec![None; config.tenants.len()]);
+        for (name, id) in &self.classes {
+            class_was.get_mut(id.0).into_iter().for_each(|was| *was = old.class(name));
+        }
+        for (name, id) in &self.tenants {
+            tenant_was.get_mut(id.0).into_iter().for_each(|was| *was = old.tenant(name));
+        }
+        ConfigUpdate { config, class_was, tenant_was }
+    }
+}
+
+/// The most of a wrong value that a message repeats, in bytes.
+const SHOWN: usize = 200;
+
+/// A value as a message shows it: whole where it is short.
+fn shown(value: &Value) -> String {
+    let mut text = value.to_string();
+    if text.len() > SHOWN {
+        let end = (0..=SHOWN).rev().find(|at| text.is_char_boundary(*at)).unwrap_or(0);
+        text.truncate(end);
+        text.push_str("...");
+    }
+    text
 }
 
 /// A value inside a JSON document, with the path that led to it: what is wrong is told by that path.
@@ -56,7 +84,7 @@
     /// What was got, or a message that says what was expected.
     pub fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
         got.ok_or_else(|| match self.value {
-            Some(v) => format!("{}: expected {what}, got {v}", self.path),
+            Some(v) => format!("{}: expected {what}, got {}", self.path, shown(v)),
             None => format!("{}: missing, expected {what}", self.path),
         })
     }
@@ -134,10 +162,9 @@
     let mut classes = Vec::new();
     for class in root.get("profiles").list()? {
         let name = class.get("name");
-        if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n)) {
+        if names.classes.insert(name.text()?.into(), ClassId(classes.len())).is_some() {
             return Err(format!("{}: the name stands twice", name.path));
         }
-        names.classes.push(name.text()?.into());
         let scope = class.get("key_scope");
         let effect = match class.get("effect").text()? {
             "free" => Effect::Free,
@@ -169,7 +196,7 @@
     let mut tenants = Vec::new();
     // A site may have no tenants, and then needs no worth of what is past their shares.
     for tenant in root.get("customers").or(Vec::new(), Key::list)? {
-        names.tenants.push(tenant.get("name").text()?.into());
+        names.tenants.entry(tenant.get("name").text()?.into()).or_insert(TenantId(tenants.len()));
         tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,7 +1,8 @@
 //! The watch on the list of backends, against a stand-in of discovery on loopback.
 
-use beechworks::net::discovery::{Target, Watch};
+use beechworks::net::discovery::{Target, Terms, Watch};
 use beechworks::{Discovery, ListUpdate, Micros};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,13 +18,12 @@
     let (sender, news) = mpsc::unbounded_channel();
     let (moved, address) = watch::channel(at);
     let follow = Rc::new(Notify::new());
+    let (dial_timeout, stop_sending) = (Duration::from_millis(100), Duration::from_secs(1));
     let watch = Watch {
         address,
         mode: Discovery::Subscribe(Micros(10_000_000)),
-        dial_timeout: Duration::from_millis(100),
-        stop_sending: Duration::from_secs(1),
+        terms: Rc::new(Cell::new(Terms { dial_timeout, stop_sending, place: 0.0 })),
         index: Some(1),
-        place: 0.0,
         follow: follow.clone(),
         tell: Box::new(move |update, targets| {
             let _ = sender.send((update, targets));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -300,7 +300,8 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
-    file: PathBuf,
+    /// Its configuration.
+    pub file: PathBuf,
     log: Arc<Mutex<String>>,
 }
 
@@ -381,7 +382,7 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
