Add the scale member: plans read strictly and checked against the machine

A plan is a TOML file whose points give one slope; [base] holds for all of them. Not taken: a program per slope, whose bounds would have had to be checked in each.

--- /dev/null
+++ b/scale/tests/plans.rs
@@ -0,0 +1,81 @@
+//! Plans: what is wrong with one is told in one line that names the key.
+
+use beechworks_scale::bounds::{machine, Machine};
+use beechworks_scale::plan::{parse, Plan};
+
+const HEAD: &str = "name = \"x\"\nkind = \"real\"\nover = \"backends\"\nlongest_s = 600\n";
+
+/// The one line that a plan gets.
+fn refusal(text: &str) -> String {
+    let line = parse(text).expect_err("a bad plan").to_string();
+    assert!(!line.contains('\n'), "one line: {line}");
+    line
+}
+
+fn with_point(point: &str) -> String {
+    format!("{HEAD}[[points]]\nbackends = 20\n{point}\n")
+}
+
+fn sound(text: &str) -> Plan {
+    parse(text).expect("a sound plan")
+}
+
+/// A machine of a small size.
+const SMALL: Machine = Machine { memory: 2_000_000_000, descriptors: 4_096 };
+
+#[test]
+fn a_bad_plan_is_told_by_the_path_of_its_key_and_what_was_expected() {
+    let cases = [
+        ("name = ".to_string(), "line 1: expected TOML"),
+        ("kind = \"real\"\nover = \"backends\"\nlongest_s = 1\n[[points]]\n".into(), "name: missing"),
+        (format!("{HEAD}color = 1\n[[points]]\n"), "color: expected no such key"),
+        (HEAD.replace("real", "wooden") + "[[points]]\n", "kind: expected another value"),
+        (HEAD.replace("backends", "hats") + "[[points]]\nbackends = 2\nkinds = 1\n", "over: expected one of"),
+        (HEAD.replace("600", "0") + "[[points]]\nbackends = 8\n", "longest_s: expected seconds above 0"),
+        (HEAD.to_string(), "points: missing, expected one [[points]] at least"),
+        (format!("{HEAD}points = 3\n"), "points: missing"),
+        (format!("base = 1\n{HEAD}[[points]]\n"), "base: expected a table, got integer"),
+        (format!("{HEAD}[base]\nclasses = \"many\"\n[[points]]\nbackends = 8\n"), "base.classes: expected"),
+        (format!("{HEAD}[[points]]\n"), "points[0].backends: expected a whole number from 1 to 20000"),
+        (with_point("proxies = -1"), "points[0].proxies: expected"),
+        (with_point("hats = 1"), "points[0].hats: expected no such key"),
+        (with_point("rate_per_s = nan"), "points[0].rate_per_s: expected above 0"),
+        (with_point("discovery = { queue = 0 }"), "points[0].discovery.queue: expected a whole number"),
+        (with_point("discovery = { queues = 1 }"), "points[0].discovery.queues: expected no such key"),
+        (with_point("events = [{ what = \"reload\" }]"), "points[0].events[0].at_s: missing"),
+        (with_point("events = [{ at_s = 1, what = \"rain\" }]"), "points[0].events[0].what: expected"),
+        (with_point("events = [{ at_s = 99, what = \"reload\" }]"), "points[0].events[0]: expected at_s"),
+        (
+            with_point("events = [{ at_s = 1, what = \"return\" }]"),
+            "points[0].events[0].what: expected return",
+        ),
+    ];
+    for (text, expected) in cases {
+        let line = refusal(&text);
+        assert!(line.starts_with(expected), "{line:?} does not begin with {expected:?}");
+    }
+}
+
+#[test]
+fn the_base_holds_for_every_point_that_says_nothing_else() {
+    let text = format!(
+        "{HEAD}[base]\nclasses = 7\n[[points]]\nbackends = 8\n[[points]]\nbackends = 9\nclasses = 8\n"
+    );
+    let plan = sound(&text);
+    let sizes: Vec<(u32, u32)> = plan.points.iter().map(|p| (p.backends, p.classes)).collect();
+    assert_eq!(sizes, [(8, 7), (9, 8)]);
+}
+
+#[test]
+fn a_plan_over_the_bounds_of_the_machine_is_refused_before_it_starts() {
+    let refused = |text: &str| machine(&sound(text), SMALL).expect_err("over the bounds").to_string();
+    assert!(machine(&sound(&with_point("")), SMALL).is_ok());
+    let line = refused(&with_point("proxies = 200\nconnections = 1"));
+    assert!(line.starts_with("points[0].proxies: expected fewer than 200 processes"), "{line}");
+    let line = refused(&with_point("proxies = 100"));
+    assert!(line.starts_with("points[0].proxies: expected a point within 1000 MB"), "{line}");
+    let line = refused(&with_point("").replace("= 20", "= 5000"));
+    assert!(line.starts_with("points[0].backends: expected at most 4096 descriptors"), "{line}");
+    let line = refused(&with_point("load_s = 900"));
+    assert!(line.starts_with("longest_s: expected at least 9"), "{line}");
+}
