Play the real proxy at a plan's sizes, before a stand-in of discovery and hollow backends

Clients go open-loop and count from the planned send, discovery handles calls one after another at its capacity, backends listen on an address each and tell in the answer how long they took, so that what the proxy adds can be told apart. Not taken: one listener for all backends, which could not tell them apart.

--- a/scale/src/bounds.rs
+++ b/scale/src/bounds.rs
@@ -20,6 +20,8 @@
 /// Time counted for one seed of the module mode, and for each of its lines, classes and tenants.
 const SEED_S: f64 = 1.0;
 const SEED_ITEM_S: f64 = 2e-4;
+/// Each backend of a release drains and is away for some seconds.
+const LEAST_RELEASE_S: f64 = 4.0;
 /// Descriptors for standard streams, listeners and runtimes.
 const RESERVE: u64 = 128;
 
@@ -114,6 +116,10 @@
             let path = format!("points[{number}].events[{i}].what");
             return Err(fault(path, "expected return only in a plan of kind hollow"));
         }
+        if e.what == What::Release && e.for_s < LEAST_RELEASE_S {
+            let path = format!("points[{number}].events[{i}].for_s");
+            return Err(fault(path, format!("expected at least {LEAST_RELEASE_S} for a release")));
+        }
         if e.lines > p.backends {
             return Err(fault(format!("points[{number}].events[{i}].lines"), "expected at most backends"));
         }
--- /dev/null
+++ b/scale/src/hollow_point.rs
@@ -0,0 +1,203 @@
+//! A point with hollow proxies: start, rest, changes of the list, load with its events. What the machine pays here
+//! it pays for the proxies and for the stand-in of discovery together.
+
+use crate::backends::{self, Fleet};
+use crate::discovery::{Counts, Discovery};
+use crate::events::{self, Stage};
+use crate::hollow::{Proxies, Sums};
+use crate::plan::{Point, What};
+use crate::process::{memory, processor_s};
+use crate::real::{costs, nature};
+use crate::report::{Check, Row};
+use crate::site::{backend_name, own_address, Register};
+use beechworks::settings::number;
+use beechworks::BackendId;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// How often it is looked whether all are ready.
+const LOOK: Duration = Duration::from_millis(10);
+/// After the last is ready, so long until rest is measured.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// What one phase took of this process and of discovery.
+struct Phase {
+    seconds: f64,
+    processor_s: Option<f64>,
+    discovery: Counts,
+}
+
+impl Phase {
+    fn control_per_s(&self) -> Option<f64> {
+        let bytes = (self.discovery.bytes_in + self.discovery.bytes_out) as f64;
+        (self.seconds > 0.1).then_some(bytes / self.seconds)
+    }
+    fn share(&self) -> Option<f64> {
+        self.processor_s.filter(|_| self.seconds > 0.1).map(|spent| spent / self.seconds)
+    }
+    /// What it took beyond rest for each of so many units, in microseconds.
+    fn each_us(&self, rest: &Phase, units: f64) -> Option<f64> {
+        let spent = self.processor_s? - rest.share().unwrap_or(0.0) * self.seconds;
+        (units > 0.0).then_some(spent / units * 1e6)
+    }
+}
+
+async fn phase<T>(discovery: &Discovery, work: impl std::future::Future<Output = T>) -> (Phase, T) {
+    discovery.reset_peaks();
+    let (start, spent, before) = (Instant::now(), processor_s("self"), discovery.counts());
+    let made = work.await;
+    let after = discovery.counts();
+    let counted = Counts {
+        calls: after.calls - before.calls,
+        lists: after.lists - before.lists,
+        refused: after.refused - before.refused,
+        bytes_out: after.bytes_out - before.bytes_out,
+        bytes_in: after.bytes_in - before.bytes_in,
+        ..after
+    };
+    let processor_s = processor_s("self").zip(spent).map(|(after, before)| after - before);
+    (Phase { seconds: start.elapsed().as_secs_f64(), processor_s, discovery: counted }, made)
+}
+
+/// Waits until all proxies have their list, or the time for it is over; how many have.
+async fn ready(p: &Point, proxies: &Proxies) -> u64 {
+    let limit = Instant::now() + Duration::from_secs_f64(p.ready_s);
+    loop {
+        let ready = proxies.sums().ready.len();
+        if ready >= u64::from(p.proxies) || Instant::now() >= limit {
+            return ready;
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// Plays a point.
+pub async fn play(p: &Point) -> Result<Row, String> {
+    let addresses: Vec<_> = (0..p.backends).map(|n| own_address(n, 80)).collect();
+    let fleet = Arc::new(Fleet::new(addresses.len(), nature(p), p.seed));
+    let ids = (0..addresses.len()).map(|n| (BackendId(number(&backend_name(n))), n)).collect();
+    let discovery = Rc::new(Discovery::start(Register::new(p, &addresses), costs(p))?);
+    discovery.whole();
+    let empty = memory("self");
+    let proxies = Rc::new(Proxies::start(p, &fleet, ids, discovery.address())?);
+    let (start, started) = phase(&discovery, ready(p, &proxies)).await;
+    let first = proxies.sums().ready;
+    sleep(SETTLE).await;
+    let held = memory("self").zip(empty).map(|(full, empty)| full.saturating_sub(empty) as f64);
+    let rest = phase(&discovery, sleep(Duration::from_secs_f64(p.rest_s))).await.0;
+    let (change, lines) = phase(&discovery, events::touch(&discovery, p)).await;
+    let (load, played) = phase(&discovery, load(p, &discovery, &fleet, &proxies)).await;
+    played?;
+    let (sums, backends) = (proxies.sums(), fleet.counts());
+    let ms = |us: u64| Some(us as f64 / 1e3);
+    let mut figures = vec![
+        ("memory_per_proxy_mb", held.map(|b| b / f64::from(p.proxies) / 1e6)),
+        ("ready_p50_ms", ms(first.value_at_quantile(0.5))),
+        ("ready_worst_ms", ms(first.max())),
+        ("return_ready_p50_ms", ms(sums.ready.value_at_quantile(0.5))),
+        ("return_ready_worst_ms", ms(sums.ready.max())),
+        ("rest_core_share_of_all", rest.share()),
+        ("changed_line_us", change.each_us(&rest, lines as f64 * f64::from(p.proxies))),
+        ("request_us", load.each_us(&rest, sums.planned as f64)),
+        ("added_p50_us", Some(sums.added.value_at_quantile(0.5) as f64)),
+        ("added_p99_us", Some(sums.added.value_at_quantile(0.99) as f64)),
+        ("added_p999_us", Some(sums.added.value_at_quantile(0.999) as f64)),
+    ];
+    if !p.events.iter().any(|e| e.what == What::Return) {
+        figures.retain(|f| !f.0.starts_with("return_"));
+    }
+    figures.extend(discovery_figures(&start, &rest, &change, &load));
+    figures.extend(counts(&sums, &backends));
+    let checks = checks(p, started, &sums, &backends);
+    Ok(Row { size: f64::from(p.proxies), figures, checks })
+}
+
+async fn load(
+    p: &Point, discovery: &Rc<Discovery>, fleet: &Arc<Fleet>, proxies: &Rc<Proxies>,
+) -> Result<(), String> {
+    let lasts = Duration::from_secs_f64(p.load_s);
+    let start = Instant::now();
+    proxies.load(lasts);
+    let (all, returning) = (proxies.clone(), proxies.clone());
+    let moved = Box::new(move |to| {
+        all.move_discovery(to);
+        Ok(())
+    });
+    let back = Box::new(move |()| {
+        returning.return_all();
+        Ok(())
+    });
+    let stage = Stage { discovery: discovery.clone(), fleet: fleet.clone(), moved, back };
+    events::play(p, Rc::new(stage)).await?;
+    sleep(lasts.saturating_sub(start.elapsed())).await;
+    proxies.end();
+    while !proxies.ended() {
+        sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+fn discovery_figures(
+    start: &Phase, rest: &Phase, change: &Phase, load: &Phase,
+) -> Vec<(&'static str, Option<f64>)> {
+    let some = |n: u64| Some(n as f64);
+    vec![
+        ("start_calls", some(start.discovery.calls)),
+        ("start_refused", some(start.discovery.refused)),
+        ("start_longest_queue", some(start.discovery.longest_queue)),
+        ("start_peak_calls_per_s", some(start.discovery.peak_per_s)),
+        ("start_bytes", some(start.discovery.bytes_in + start.discovery.bytes_out)),
+        ("rest_bytes_per_s", rest.control_per_s()),
+        ("change_calls", some(change.discovery.calls)),
+        ("change_refused", some(change.discovery.refused)),
+        ("change_bytes_per_s", change.control_per_s()),
+        ("load_calls", some(load.discovery.calls)),
+        ("load_lists", some(load.discovery.lists)),
+        ("load_refused", some(load.discovery.refused)),
+        ("load_longest_queue", some(load.discovery.longest_queue)),
+        ("load_peak_calls_per_s", some(load.discovery.peak_per_s)),
+        ("load_bytes_per_s", load.control_per_s()),
+    ]
+}
+
+fn counts(sums: &Sums, backends: &backends::Counts) -> Vec<(&'static str, Option<f64>)> {
+    let some = |n: u64| Some(n as f64);
+    vec![
+        ("planned", some(sums.planned)),
+        ("served", some(sums.served)),
+        ("refused", some(sums.refused)),
+        ("failed", some(sums.failed)),
+        ("cut_by_return", some(sums.cut)),
+        ("came_while_unready", some(sums.unready)),
+        ("attempts", some(sums.attempts)),
+        ("lost_calls", some(sums.lost_calls)),
+        ("sent_to_draining", some(backends.turned_away)),
+        ("sent_to_draining_late", some(backends.late)),
+        ("cold_sum_of_limit", Some(backends.cold)),
+    ]
+}
+
+fn checks(p: &Point, started: u64, sums: &Sums, backends: &backends::Counts) -> Vec<Check> {
+    let all = u64::from(p.proxies);
+    let answers = sums.served + sums.refused + sums.failed;
+    let owed = sums.planned - sums.cut;
+    vec![
+        Check {
+            name: "every proxy has its list at the start, and again after a return",
+            holds: started == all && sums.ready.len() == all,
+            seen: format!("{started} of {all}, {} at the end", sums.ready.len()),
+        },
+        Check {
+            name: "every request taken has one final answer",
+            holds: answers == owed && sums.unanswered == 0 && sums.answered_twice == 0,
+            seen: format!("{answers} answers to {owed}, {} twice", sums.answered_twice),
+        },
+        Check {
+            name: "nothing reaches a draining backend past the limit and the slack",
+            holds: backends.late == 0,
+            seen: format!("{} late of {} while draining", backends.late, backends.turned_away),
+        },
+    ]
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -3,5 +3,18 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod backends;
 pub mod bounds;
+pub mod clients;
+pub mod discovery;
+pub mod events;
+pub mod hollow;
+pub mod hollow_point;
+pub mod module;
 pub mod plan;
+pub mod process;
+pub mod real;
+pub mod report;
+pub mod site;
+pub mod slopes;
+pub mod wire;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,10 +1,15 @@
 //! The command: reads a plan, checks that the machine bears it, plays it and prints what came of it.
 #![forbid(unsafe_code)]
 
-use beechworks_scale::{bounds, plan};
+use beechworks_scale::plan::{Kind, Plan};
+use beechworks_scale::report::{self, Row};
+use beechworks_scale::{bounds, hollow_point, module, plan, real};
 use clap::Parser;
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Exit code for a plan that cannot be played.
 const BAD_PLAN: u8 = 2;
@@ -27,19 +32,83 @@
     let arguments = Arguments::parse();
     let level = std::env::var("SCALE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::WARN);
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
-    let accepted = accept(&arguments.plan);
-    match accepted {
-        Ok(_plan) => ExitCode::SUCCESS,
-        Err(text) => {
-            eprintln!("beechworks-scale: {text}");
-            ExitCode::from(BAD_PLAN)
-        }
+    let told = |text: String, code: ExitCode| {
+        eprintln!("beechworks-scale: {text}");
+        code
+    };
+    let plan = match accept(&arguments.plan) {
+        Ok(plan) => plan,
+        Err(text) => return told(text, ExitCode::from(BAD_PLAN)),
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match play(&plan, arguments.json.as_deref()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => told("a check failed".into(), ExitCode::FAILURE),
+        Err(text) => told(text, ExitCode::FAILURE),
     }
 }
 
 /// The plan, if it is sound and the machine bears it.
-fn accept(path: &std::path::Path) -> Result<plan::Plan, String> {
+fn accept(path: &Path) -> Result<Plan, String> {
     let plan = plan::load(path).map_err(|e| e.to_string())?;
     bounds::machine(&plan, bounds::Machine::read()?).map_err(|e| e.to_string())?;
     Ok(plan)
 }
+
+/// Plays all points; whether every check holds. What was started ends with the future that holds it, and so also
+/// where a signal or the plan's time puts an end to it.
+fn play(plan: &Plan, json: Option<&Path>) -> Result<bool, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+        tokio::select! {
+            rows = points(plan, json) => finish(plan, json, &rows?),
+            _ = terminate.recv() => Err("ended by SIGTERM".into()),
+            _ = interrupt.recv() => Err("ended by SIGINT".into()),
+            () = tokio::time::sleep(Duration::from_secs_f64(plan.longest_s)) => {
+                Err(format!("longest_s: {} s are over", plan.longest_s))
+            }
+        }
+    })
+}
+
+/// Plays the points one after the other; each is told as JSON as soon as it is done.
+async fn points(plan: &Plan, json: Option<&Path>) -> Result<Vec<Row>, String> {
+    let mut sink = json.map(sink).transpose()?;
+    let program = (plan.kind == Kind::Real).then(|| real::program(plan.program.as_deref())).transpose()?;
+    let folder = real::Folder::make()?;
+    let mut rows = Vec::new();
+    for (number, point) in plan.points.iter().enumerate() {
+        let row = match &program {
+            Some(program) => real::play(point, program, &folder).await?,
+            None if plan.kind == Kind::Module => module::play(point)?,
+            None => hollow_point::play(point).await?,
+        };
+        let row = Row { size: bounds::over(&plan.over, point).unwrap_or(0.0), ..row };
+        if let Some(sink) = &mut sink {
+            writeln!(sink, "{}", report::line(plan, number, &row)).map_err(|e| format!("json: {e}"))?;
+        }
+        rows.push(row);
+    }
+    Ok(rows)
+}
+
+/// Where JSON lines go.
+fn sink(path: &Path) -> Result<Box<dyn Write>, String> {
+    if path == Path::new("-") {
+        return Ok(Box::new(std::io::stdout()));
+    }
+    let file = std::fs::File::create(path).map_err(|e| format!("json: {}: {e}", path.display()))?;
+    Ok(Box::new(file))
+}
+
+fn finish(plan: &Plan, json: Option<&Path>, rows: &[Row]) -> Result<bool, String> {
+    if json != Some(Path::new("-")) {
+        print!("{}", report::table(plan, rows));
+    }
+    Ok(rows.iter().all(Row::passed))
+}
--- /dev/null
+++ b/scale/src/module.rs
@@ -0,0 +1,212 @@
+//! The bare decisions, no sockets at all: time for a request and for a changed line, over several seeds.
+
+use crate::clients::{gap, unit};
+use crate::plan::Point;
+use crate::report::Row;
+use crate::site::{own_address, settings, Register};
+use beechworks::net::discovery::list;
+use beechworks::settings::{read, Key};
+use beechworks::*;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Instant;
+
+/// Requests that warm the module up, and those that are measured.
+const WARM: u32 = 5_000;
+const MEASURED: u32 = 20_000;
+/// Lines that change one at a time, each followed by a request so that its work is not put off.
+const CHANGES: u32 = 500;
+
+/// What one seed gave, in microseconds.
+struct Times {
+    start: f64,
+    request: f64,
+    line: f64,
+}
+
+/// Plays a point: the median over the seeds, with the least and the most.
+pub fn play(p: &Point) -> Result<Row, String> {
+    let times =
+        (0..u64::from(p.seeds)).map(|n| one(p, p.seed + n)).collect::<Result<Vec<Times>, String>>()?;
+    let spread = |of: fn(&Times) -> f64| {
+        let mut all: Vec<f64> = times.iter().map(of).collect();
+        all.sort_by(f64::total_cmp);
+        (all.first().copied(), all.get(all.len() / 2).copied(), all.last().copied())
+    };
+    let (start, request, line) = (spread(|t| t.start), spread(|t| t.request), spread(|t| t.line));
+    let figures = vec![
+        ("whole_list_us", start.1),
+        ("whole_list_least_us", start.0),
+        ("whole_list_most_us", start.2),
+        ("request_us", request.1),
+        ("request_least_us", request.0),
+        ("request_most_us", request.2),
+        ("changed_line_us", line.1),
+        ("changed_line_least_us", line.0),
+        ("changed_line_most_us", line.2),
+    ];
+    Ok(Row { size: 0.0, figures, checks: Vec::new() })
+}
+
+fn one(p: &Point, seed: u64) -> Result<Times, String> {
+    let (config, _) = read(&Key::root(&settings(p, 0)))?;
+    let addresses: Vec<_> = (0..p.backends).map(|n| own_address(n, 80)).collect();
+    let whole: serde_json::Value = serde_json::from_slice(&Register::new(p, &addresses).answer(None).body)
+        .map_err(|e| format!("the list: {e}"))?;
+    let backends: Vec<Backend> = list(&Key::root(&whole))?.targets.into_iter().map(|t| t.backend).collect();
+    let mut bench = Bench::new(p, config, seed)?;
+    let event = Event::Members { update: ListUpdate::Full, backends: backends.clone() };
+    let start = bench.timed(|b| b.event(event));
+    (0..WARM).for_each(|_| bench.request());
+    let request = bench.timed(|b| (0..MEASURED).for_each(|_| b.request())) / f64::from(MEASURED);
+    let changes: Vec<Backend> = backends.into_iter().cycle().take(CHANGES as usize).collect();
+    let both = bench.timed(|b| {
+        for (n, line) in changes.into_iter().enumerate() {
+            let changed = Backend { weight: 1.5 + (n % 7) as f64, ..line };
+            b.event(Event::Members { update: ListUpdate::Changes, backends: vec![changed] });
+            b.request();
+        }
+    });
+    Ok(Times { start, request, line: both / f64::from(CHANGES) - request })
+}
+
+/// A request that is not over.
+#[derive(Default)]
+struct Open {
+    /// Attempts so far, and those still out.
+    count: u32,
+    out: u32,
+    settled: bool,
+}
+
+/// A host with a clock of its own: only what the module itself takes is measured, and its share of the host's work.
+struct Bench {
+    balancer: Balancer,
+    tick: Micros,
+    now: Time,
+    dice: Pcg32,
+    rate_per_s: f64,
+    deadline: Micros,
+    service: Micros,
+    classes: u32,
+    tenants: u32,
+    next: u64,
+    open: HashMap<RequestId, Open>,
+    /// Attempts that are out, by their end: request, attempt and when it was sent.
+    out: BinaryHeap<Reverse<(Time, RequestId, AttemptNo, Time)>>,
+    timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    fn new(p: &Point, config: Config, seed: u64) -> Result<Bench, String> {
+        Ok(Bench {
+            tick: config.tick,
+            balancer: Balancer::new(config, seed).map_err(|e| e.to_string())?,
+            now: Time(1_000_000_000),
+            dice: Pcg32::seed_from_u64(seed),
+            rate_per_s: p.rate_per_s,
+            deadline: Micros(p.deadline_ms * 1_000),
+            service: Micros::from_secs(p.service_ms / 1e3),
+            classes: p.classes,
+            tenants: p.tenants,
+            next: 0,
+            open: HashMap::new(),
+            out: BinaryHeap::new(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+        })
+    }
+
+    /// The time that some work takes, in microseconds.
+    fn timed(&mut self, work: impl FnOnce(&mut Bench)) -> f64 {
+        let start = Instant::now();
+        work(self);
+        start.elapsed().as_secs_f64() * 1e6
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Dispatch { request, .. } => self.dispatch(request),
+                Action::Refuse { request } | Action::Fail { request } => self.settle(request),
+                Action::SetTimer { token, after } => {
+                    let due = self.now + Micros(after.0.max(self.tick.0));
+                    self.timers.push(Reverse((due, token)));
+                }
+                _ => {}
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Lets time go on to the next arrival, ends what ends before it, and hands the request over.
+    fn request(&mut self) {
+        let arrival = self.now + Micros(gap(&mut self.dice, self.rate_per_s).as_micros() as u64);
+        self.pass(arrival);
+        self.next += 1;
+        let mut below = |n: u32| (unit(&mut self.dice) * f64::from(n)) as usize;
+        let class = ClassId(below(self.classes));
+        let tenant = (self.tenants > 0).then(|| TenantId(below(self.tenants)));
+        self.open.insert(RequestId(self.next), Open::default());
+        self.event(Event::Request(Arrival {
+            request: RequestId(self.next),
+            class,
+            tenant,
+            time_left: self.deadline,
+            work_hint: None,
+            repeat: false,
+        }));
+    }
+
+    /// Everything that falls due until then, in order.
+    fn pass(&mut self, until: Time) {
+        loop {
+            let answer = self.out.peek().map_or(Time(u64::MAX), |o| o.0 .0);
+            let timer = self.timers.peek().map_or(Time(u64::MAX), |t| t.0 .0);
+            if answer.min(timer) > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(answer.min(timer));
+            if answer <= timer {
+                self.answer();
+            } else if let Some(Reverse((_, token))) = self.timers.pop() {
+                self.event(Event::Timer { token });
+            }
+        }
+    }
+
+    fn dispatch(&mut self, request: RequestId) {
+        let end = self.now + self.service.times(0.5 + unit(&mut self.dice));
+        let Some(open) = self.open.get_mut(&request) else { return };
+        self.out.push(Reverse((end, request, AttemptNo(open.count), self.now)));
+        open.count += 1;
+        open.out += 1;
+    }
+
+    fn settle(&mut self, request: RequestId) {
+        let over = self.open.get_mut(&request).is_some_and(|open| {
+            open.settled = true;
+            open.out == 0
+        });
+        if over {
+            self.open.remove(&request);
+        }
+    }
+
+    /// Ends the attempt that is next to end; one that was called off ends in its time all the same.
+    fn answer(&mut self) {
+        let Some(Reverse((_, request, attempt, sent))) = self.out.pop() else { return };
+        if let Some(open) = self.open.get_mut(&request) {
+            open.out -= 1;
+        }
+        let (outcome, latency) = (Outcome::Ok, self.now - sent);
+        self.event(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled: true }));
+        self.settle(request);
+    }
+}
--- /dev/null
+++ b/scale/tests/discovery.rs
@@ -0,0 +1,141 @@
+//! The stand-in of discovery speaks the published protocol, and its troubles look as they should.
+
+use beechworks_scale::discovery::{Conduct, Costs, Discovery};
+use beechworks_scale::plan::parse;
+use beechworks_scale::site::{own_address, Register, Status};
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const LINES: u32 = 5;
+
+/// Far longer than anything here takes.
+const LONG: Duration = Duration::from_secs(10);
+
+fn start(call: Duration, queue: usize) -> Discovery {
+    let head = "name = \"x\"\nkind = \"real\"\nover = \"backends\"\nlongest_s = 60\n";
+    let plan = parse(&format!("{head}[[points]]\nbackends = {LINES}\n")).expect("sound");
+    let addresses: Vec<SocketAddr> = (0..LINES).map(|n| own_address(n, 80)).collect();
+    let costs = Costs { call, line: Duration::ZERO, queue, agent: false };
+    Discovery::start(Register::new(&plan.points[0], &addresses), costs).expect("started")
+}
+
+/// Waits for what is asked of it on a runtime of this thread.
+fn wait<T>(work: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
+}
+
+fn send(to: SocketAddr, path: &str) -> BufReader<TcpStream> {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(LONG)).expect("a limit");
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
+    BufReader::new(stream)
+}
+
+/// The status and the body; none where the connection ends first.
+fn answer(from: &mut BufReader<TcpStream>) -> Option<(u16, Vec<u8>)> {
+    let (mut status, mut length) = (0, 0);
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let line = line.trim_end().to_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if line.starts_with("http/1.1 ") {
+            status = line[9..12].parse().expect("a status");
+        }
+        length = line.strip_prefix("content-length: ").map_or(length, |l| l.parse().expect("a length"));
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((status, body))
+}
+
+fn list(to: SocketAddr, path: &str) -> Value {
+    let (status, body) = answer(&mut send(to, path)).expect("an answer");
+    assert_eq!(status, 200);
+    serde_json::from_slice(&body).expect("JSON")
+}
+
+#[test]
+fn it_lists_all_and_a_watch_tells_what_changed() {
+    let discovery = start(Duration::from_micros(100), 100);
+    let whole = list(discovery.address(), "/api/targets");
+    assert_eq!((whole["snapshot"].as_bool(), whole["index"].as_u64()), (Some(true), Some(1)));
+    let endpoints = whole["endpoints"].as_array().expect("lines");
+    assert_eq!(endpoints.len(), LINES as usize);
+    let read = beechworks::net::discovery::list(&beechworks::settings::Key::root(&whole));
+    assert_eq!(read.map(|l| l.targets.len()), Ok(LINES as usize), "the proxy's own reader takes it");
+    let began = Instant::now();
+    let mut watch = send(discovery.address(), "/api/targets?after=1&wait_ms=9000");
+    std::thread::sleep(Duration::from_millis(100));
+    discovery.change(|register| register.set(3, Status::Draining, 0));
+    let (status, body) = answer(&mut watch).expect("an answer");
+    let news: Value = serde_json::from_slice(&body).expect("JSON");
+    assert!(began.elapsed() < Duration::from_secs(5), "at the news, not at the end of the wait");
+    assert_eq!((status, news["snapshot"].as_bool(), news["index"].as_u64()), (200, Some(false), Some(2)));
+    assert_eq!(news["endpoints"].as_array().map(Vec::len), Some(1));
+    assert_eq!(news["endpoints"][0]["status"], "draining");
+    assert_eq!(news["endpoints"][0]["name"], endpoints[3]["name"]);
+}
+
+#[test]
+fn a_watch_without_news_ends_empty_and_one_of_a_version_never_told_gets_all() {
+    let discovery = start(Duration::from_micros(100), 100);
+    let nothing = list(discovery.address(), "/api/targets?after=1&wait_ms=50");
+    assert_eq!(
+        (nothing["endpoints"].as_array().map(Vec::len), nothing["index"].as_u64()),
+        (Some(0), Some(1))
+    );
+    discovery.change(|register| (0..20).for_each(|n| register.touch(n % 5)));
+    let old = list(discovery.address(), "/api/targets?after=1&wait_ms=50");
+    assert_eq!(old["snapshot"].as_bool(), Some(true), "too many changes ago to be told one by one");
+}
+
+#[test]
+fn calls_are_handled_one_after_another_and_past_its_queue_they_are_refused() {
+    let discovery = start(Duration::from_millis(200), 3);
+    let mut calls: Vec<_> = (0..6).map(|_| send(discovery.address(), "/api/targets")).collect();
+    let began = Instant::now();
+    let mut statuses: Vec<u16> = calls.iter_mut().map(|c| answer(c).expect("an answer").0).collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 200, 503, 503, 503]);
+    assert!(began.elapsed() >= Duration::from_millis(400), "three turns of 200 ms, the first begun before");
+    let counts = discovery.counts();
+    assert_eq!((counts.calls, counts.lists, counts.refused, counts.longest_queue), (6, 3, 3, 3));
+    assert!(counts.bytes_out > counts.bytes_in && counts.bytes_in > 0);
+}
+
+#[test]
+fn it_refuses_falls_silent_goes_down_and_comes_back() {
+    let discovery = start(Duration::from_micros(100), 100);
+    let address = discovery.address();
+    let mut watch = send(address, "/api/targets?after=1&wait_ms=9000");
+    std::thread::sleep(Duration::from_millis(100));
+    wait(discovery.conduct(Conduct::Refuse));
+    assert_eq!(answer(&mut watch).map(|a| a.0), Some(503), "a watch ends with it");
+    assert_eq!(answer(&mut send(address, "/api/targets")).map(|a| a.0), Some(503));
+    wait(discovery.conduct(Conduct::Silence));
+    let mut unheard = send(address, "/api/targets");
+    unheard.get_mut().set_read_timeout(Some(Duration::from_millis(300))).expect("a limit");
+    assert_eq!(answer(&mut unheard), None, "taken and never answered");
+    wait(discovery.conduct(Conduct::Down));
+    assert!(TcpStream::connect(address).is_err(), "nobody listens");
+    wait(discovery.conduct(Conduct::Serve));
+    assert_eq!(list(address, "/api/targets")["index"].as_u64(), Some(1));
+}
+
+#[test]
+fn it_moves_to_another_port_and_leaves_the_old_one() {
+    let discovery = start(Duration::from_micros(100), 100);
+    let old = discovery.address();
+    let mut watch = send(old, "/api/targets?after=1&wait_ms=9000");
+    std::thread::sleep(Duration::from_millis(100));
+    let new = wait(discovery.move_away()).expect("moved");
+    assert_ne!(old, new);
+    assert_eq!(list(new, "/api/targets")["index"].as_u64(), Some(1));
+    assert!(TcpStream::connect(old).is_err(), "no new connections");
+    assert_eq!(answer(&mut watch), None, "an open one is closed");
+}
