--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -313,7 +313,7 @@
         let costs = self.costs;
         match asked {
             Asked::List => {
-                let lines = lock(&self.register).answer(None).lines;
+                let lines = lock(&self.register).lines(None);
                 self.turn(costs.call + costs.line * lines as u32, true).await?;
                 self.tally.lists.fetch_add(1, Ordering::Relaxed);
                 Ok(lock(&self.register).answer(None))
@@ -321,7 +321,7 @@
             Asked::Watch(after, wait) => {
                 self.turn(costs.call, true).await?;
                 self.news(after, wait).await?;
-                let lines = lock(&self.register).answer(Some(after)).lines;
+                let lines = lock(&self.register).lines(Some(after));
                 self.turn(costs.line * lines as u32, false).await?;
                 Ok(lock(&self.register).answer(Some(after)))
             }
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -296,7 +296,8 @@
             ends: BinaryHeap::new(),
             deadlines: BTreeSet::new(),
             timers: BinaryHeap::new(),
-            events: Vec::new(),
+            // The start is told like a list from before, an empty one: only then do the decisions ask for a list.
+            events: vec![Event::Members { update: ListUpdate::Cached, backends: Vec::new() }],
             turn: Time(0),
             follow,
             news,
--- a/scale/src/hollow_point.rs
+++ b/scale/src/hollow_point.rs
@@ -111,7 +111,7 @@
     figures.extend(discovery_figures(&start, &rest, &change, &load));
     figures.extend(counts(&sums, &backends));
     let checks = checks(p, started, &sums, &backends);
-    Ok(Row { size: f64::from(p.proxies), figures, checks })
+    Ok(Row { label: p.label.clone(), size: f64::from(p.proxies), figures, checks })
 }
 
 async fn load(
--- a/scale/src/module.rs
+++ b/scale/src/module.rs
@@ -47,7 +47,7 @@
         ("changed_line_least_us", line.0),
         ("changed_line_most_us", line.2),
     ];
-    Ok(Row { size: 0.0, figures, checks: Vec::new() })
+    Ok(Row { label: p.label.clone(), size: 0.0, figures, checks: Vec::new() })
 }
 
 fn one(p: &Point, seed: u64) -> Result<Times, String> {
--- a/scale/src/plan.rs
+++ b/scale/src/plan.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Point {
+    /// Names the point in what is printed.
+    pub label: String,
     /// Start of all random draws.
     pub seed: u64,
     /// How often the module mode is played, each time with the next seed.
@@ -114,6 +116,7 @@
 impl Default for Point {
     fn default() -> Point {
         Point {
+            label: String::new(),
             seed: 1,
             seeds: 5,
             backends: 0,
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -289,7 +289,7 @@
         ("cold_sum_of_limit", Some(backends.cold)),
     ];
     let size = f64::from(p.proxies);
-    Row { size, figures, checks: checks(m, tally, backends, codes) }
+    Row { label: p.label.clone(), size, figures, checks: checks(m, tally, backends, codes) }
 }
 
 fn checks(m: &Measured, tally: &Tally, backends: &backends::Counts, codes: &[Option<i32>]) -> Vec<Check> {
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -18,6 +18,8 @@
 /// What one point gave.
 #[derive(Clone, Debug)]
 pub struct Row {
+    /// Its name, where it has one.
+    pub label: String,
     /// Its size along the slope.
     pub size: f64,
     /// The figures by their names, units at the end; none where a figure was not measured.
@@ -44,7 +46,8 @@
         row.figures.iter().map(|(name, v)| ((*name).into(), json!(v))).collect();
     let check = |c: &Check| json!({"name": c.name, "holds": c.holds, "seen": c.seen});
     let checks: Vec<Value> = row.checks.iter().map(check).collect();
-    json!({"plan": plan.name, "point": number, "over": plan.over, "size": row.size, "figures": figures,
+    json!({"plan": plan.name, "point": number, "over": plan.over, "size": row.size, "label": row.label,
+           "figures": figures,
            "checks": checks, "passed": row.passed()})
     .to_string()
 }
@@ -57,6 +60,11 @@
     }
     ["predicted", "off by"].iter().for_each(|t| put(&mut text, t));
     text.push('\n');
+    if rows.iter().any(|r| !r.label.is_empty()) {
+        let _ = write!(text, "{:<26}", "label");
+        rows.iter().for_each(|row| put(&mut text, &row.label));
+        text.push('\n');
+    }
     let names = rows.first().map_or(Vec::new(), |r| r.figures.iter().map(|f| f.0).collect());
     for name in names {
         let _ = write!(text, "{name:<26}");
@@ -68,11 +76,19 @@
     }
     for (row, check) in rows.iter().flat_map(|r| r.checks.iter().map(move |c| (r, c))) {
         let verdict = if check.holds { "holds " } else { "FAILED" };
-        let _ = writeln!(text, "{verdict} at {}: {} ({})", row.size, check.name, check.seen);
+        let _ = writeln!(text, "{verdict} at {}{}: {} ({})", row.size, name(row), check.name, check.seen);
     }
     text
 }
 
+fn name(row: &Row) -> String {
+    if row.label.is_empty() {
+        String::new()
+    } else {
+        format!(" {}", row.label)
+    }
+}
+
 fn put(text: &mut String, cell: &str) {
     let _ = write!(text, "{cell:>13}");
 }
--- a/scale/src/site.rs
+++ b/scale/src/site.rs
@@ -177,6 +177,12 @@
         self.written.clear();
     }
 
+    /// How many lines such an answer has at most, without writing it.
+    pub fn lines(&self, after: Option<u64>) -> usize {
+        let changed = after.and_then(|v| self.version.checked_sub(v)).and_then(|n| usize::try_from(n).ok());
+        changed.filter(|n| *n <= self.changes.len()).unwrap_or(self.lines.len())
+    }
+
     /// What a caller is told that holds a version, or none: changes where they are known, else the whole list.
     pub fn answer(&mut self, after: Option<u64>) -> Answer {
         let known = |v: &u64| self.version.checked_sub(*v).is_some_and(|n| n <= self.changes.len() as u64);
