Time a changed line of the list by a drain and a return, not by a change of its weight

A weight alone changes nothing before the next regular solving, so that the figure was the difference of two requests and went below zero.

--- a/scale/src/module.rs
+++ b/scale/src/module.rs
@@ -62,15 +62,18 @@
     let start = bench.timed(|b| b.event(event));
     (0..WARM).for_each(|_| bench.request());
     let request = bench.timed(|b| (0..MEASURED).for_each(|_| b.request())) / f64::from(MEASURED);
-    let changes: Vec<Backend> = backends.into_iter().cycle().take(CHANGES as usize).collect();
+    // A line changes when its backend begins to drain, and again when it is back: each time the shares are solved anew.
     let mut line = 0.0;
-    for (n, changed) in changes.into_iter().enumerate() {
-        let changed = Backend { weight: 1.5 + (n % 7) as f64, ..changed };
-        line -= bench.timed(Bench::request);
-        line += bench.timed(|b| {
-            b.event(Event::Members { update: ListUpdate::Changes, backends: vec![changed] });
-            b.request();
-        });
+    for (n, entry) in backends.iter().cycle().take(CHANGES as usize).enumerate() {
+        let states = [BackendState::Draining, BackendState::Ready];
+        for state in states {
+            let changed = Backend { state, ..entry.clone() };
+            let event = Event::Members { update: ListUpdate::Changes, backends: vec![changed] };
+            line += bench.timed(|b| b.event(event)) / states.len() as f64;
+        }
+        if n % 4 == 0 {
+            bench.request();
+        }
     }
     Ok(Times { start, request, line: line / f64::from(CHANGES) })
 }
