--- /dev/null
+++ b/scale/src/lib.rs
@@ -0,0 +1,20 @@
+//! Plays the proxy, and many hollow proxies around the same decisions, at sizes that a test cannot: a plan's points
+//! give one slope, and each is told with what it cost.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod backends;
+pub mod bounds;
+pub mod clients;
+pub mod discovery;
+pub mod events;
+pub mod hollow;
+pub mod hollow_point;
+pub mod module;
+pub mod plan;
+pub mod process;
+pub mod real;
+pub mod report;
+pub mod site;
+pub mod slopes;
+pub mod wire;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod away;
 mod crowd;
 mod leaving;
+mod reload;
 mod sockets;
 use serde_json::{json, Value};
 use sockets::*;
