--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -2,10 +2,8 @@
 //! `src/logic.rs`, through `src/interface.rs` like all decisions.
 //!
 //! No proxy knows what the others send. Each bounds its draw, so that the sum is some spreads below the limit
-//! on
-//! average, and counts what it sends against its own part of the limit: the parts add up to less than all of
-//! it,
-//! however uneven the arrivals are.
+//! on average, and counts what it sends against its own part of the limit: the parts add up to less than all
+//! of it, however uneven the arrivals are.
 
 use crate::interface::*;
 use crate::state::*;
@@ -24,8 +22,7 @@
 
 impl Balancer {
     /// Work that all proxies may send to a cold backend in a fall window, what is chance included; infinite
-    /// once it
-    /// is warm.
+    /// once it is warm.
     fn fall_limit(&self, now: Time, p: &Peer) -> f64 {
         let warmth = warmth(&self.cfg, now, &p.entry, 1.0);
         if warmth >= 1.0 {
@@ -49,8 +46,7 @@
     }
 
     /// Whether this proxy's part of the limit, that of one of those whose windows cover the backend, has room
-    /// for a
-    /// request of that much work in the present fall window.
+    /// for a request of that much work in the present fall window.
     pub(crate) fn ramp_allows(&self, now: Time, p: &Peer, work: f64) -> bool {
         let limit = self.fall_limit(now, p);
         if limit == f64::INFINITY {
@@ -73,8 +69,7 @@
         spent / work + 1.0 <= part.floor() + turn
     }
 
-    /// From 0 to 1, evenly apart over the proxies, by position and the backend's mark; it changes after each
-    /// term.
+    /// From 0 to 1, evenly apart over the proxies, by position and the backend's mark; each term has its own.
     pub(crate) fn turn(&self, backend: BackendId, now: Time, term: Micros) -> f64 {
         let proxies = u64::from(self.cfg.proxies);
         let epoch = now.0 / term.0.max(1);
