Hold the ports that tests come back to, bound and not listening

Seen: whatever_became_of_its_calls_a_proxy_holds_the_list_within_6_s_of_the_return failed on a quiet machine in its case Down with AddrInUse: the stand-in let its port go and bound it again four seconds later, when another test had it. Checked: the same pattern stood in crowd.rs (`down`), and refusing_address was a port that nobody held. HeldPort keeps a socket bound until it listens (std binds and listens in one step, socket2 apart).

--- a/tests/proxy/away.rs
+++ b/tests/proxy/away.rs
@@ -1,6 +1,6 @@
 //! Discovery that is away and comes back: how soon the built proxy holds what it has to tell.
 
-use crate::sockets::{self, changed, config, line, until, Proxy};
+use crate::sockets::{self, changed, config, line, until, HeldPort, Proxy};
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -52,19 +52,21 @@
 
 impl Service {
     fn away(fault: Fault) -> Service {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let port = HeldPort::bind();
+        let address = port.address;
+        // Down, it refuses connections, and nobody else is given its port meanwhile.
+        let listen = |port: HeldPort| if fault == Fault::Down { Err(port) } else { Ok(port.listen()) };
+        let held = listen(port);
         let back = Arc::new(AtomicBool::new(false));
         let full = Duration::from_millis(300);
         let connect = || TcpStream::connect_timeout(&address, full).ok();
         let queued = if fault == Fault::Cut { std::iter::from_fn(connect).collect() } else { Vec::new() };
-        let mut held = (fault != Fault::Down).then_some(listener);
         let returned = back.clone();
         std::thread::spawn(move || {
             if matches!(fault, Fault::Down | Fault::Cut) {
                 until("its return", || returned.load(Ordering::SeqCst));
             }
-            let listener = held.take().unwrap_or_else(|| TcpListener::bind(address).expect("the same port"));
+            let listener = held.unwrap_or_else(HeldPort::listen);
             for stream in listener.incoming().map_while(Result::ok) {
                 let back = returned.clone();
                 std::thread::spawn(move || converse(stream, fault, &back));
--- a/tests/proxy/crowd.rs
+++ b/tests/proxy/crowd.rs
@@ -42,14 +42,14 @@
 fn a_crowd_of_idle_clients_keeps_out_neither_news_nor_backends_nor_requests() {
     let backend = Backend::start(|_| ok("x"));
     let address = refusing_address();
-    let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let mut config = config(down, &[line("a", address, "ready", 0)]);
+    let down = HeldPort::bind();
+    let mut config = config(down.address, &[line("a", address, "ready", 0)]);
     config["limits"]["sockets"] = json!(64);
     let proxy = Proxy::start(&config);
     let _crowd = Crowd::start(proxy.address, 25);
     until("all places are taken", || proxy.ready() == 200 && proxy.log().contains("discovery: "));
     std::thread::sleep(Duration::from_secs(3));
-    let discovery = Discovery::start_at(down);
+    let discovery = Discovery::start_on(down);
     discovery.tell(true, &[line("b", backend.address, "ready", 0)]);
     let began = Instant::now();
     for n in 0..20 {
--- a/tests/proxy/sockets.rs
+++ b/tests/proxy/sockets.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Far longer than anything here takes; only a failure waits so long.
@@ -167,11 +167,11 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
-        Discovery::start_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+        Discovery::start_on(HeldPort::bind())
     }
 
-    pub fn start_at(address: SocketAddr) -> Discovery {
-        let listener = TcpListener::bind(address).unwrap();
+    pub fn start_on(port: HeldPort) -> Discovery {
+        let listener = port.listen();
         let address = listener.local_addr().unwrap();
         let discovery = Discovery { address, news: Arc::default(), calls: Arc::default() };
         let all = discovery.clone();
@@ -280,9 +280,34 @@
     })
 }
 
-/// An address at which nobody listens: all listeners here are on 127.0.0.1.
+/// A port that refuses connections: bound, so that nobody else is given it, and not listening yet.
+pub struct HeldPort {
+    socket: socket2::Socket,
+    pub address: SocketAddr,
+}
+
+impl HeldPort {
+    pub fn bind() -> HeldPort {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        HeldPort { socket, address }
+    }
+
+    /// Takes connections from now on.
+    pub fn listen(self) -> TcpListener {
+        self.socket.listen(LISTEN_QUEUE).unwrap();
+        self.socket.into()
+    }
+}
+
+/// Connections that a stand-in leaves to the system before it accepts them.
+const LISTEN_QUEUE: i32 = 128;
+
+/// An address at which nobody listens while the tests run.
 pub fn refusing_address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 2], 1))
+    static REFUSING: OnceLock<HeldPort> = OnceLock::new();
+    REFUSING.get_or_init(HeldPort::bind).address
 }
 
 pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
