Tests of clauses at their limits that fail: answers without length, clocks, short calls, slow clients

The proxy is played as built, over loopback; faults.c is loaded into it and makes accept, socket and connect fail for a moment and the wall clock wrong.

--- /dev/null
+++ b/tests/proxy/faults.c
@@ -0,0 +1,73 @@
+/* Loaded into the proxy by the tests (LD_PRELOAD): system calls that fail for a moment, and another wall clock.
+ * The file that FAULTS names is shared with the test, which changes it while the proxy runs. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+struct faults {
+    int64_t clock_offset_us;
+    int64_t accept_percent;
+    int64_t connect_percent;
+};
+
+static volatile const struct faults *faults;
+static uint32_t state = 2463534242u;
+
+__attribute__((constructor)) static void load(void) {
+    const char *path = getenv("FAULTS");
+    int file = path ? open(path, O_RDONLY | O_CLOEXEC) : -1;
+    if (file < 0) return;
+    void *shared = mmap(NULL, sizeof(struct faults), PROT_READ, MAP_SHARED, file, 0);
+    if (shared != MAP_FAILED) faults = shared;
+    close(file);
+}
+
+static uint32_t draw(void) {
+    state ^= state << 13;
+    state ^= state >> 17;
+    state ^= state << 5;
+    return state;
+}
+
+static int fails(int64_t percent, const int *errors, size_t count) {
+    if ((int64_t)(draw() % 100) >= percent) return 0;
+    errno = errors[draw() % count];
+    return 1;
+}
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+int accept4(int fd, struct sockaddr *restrict from, socklen_t *restrict length, int flags) {
+    static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, EMFILE, EPROTO};
+    if (faults && fails(faults->accept_percent, errors, 5)) return -1;
+    return REAL(accept4)(fd, from, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *to, socklen_t length) {
+    static const int errors[] = {EADDRNOTAVAIL, ENOBUFS, ENETUNREACH};
+    if (faults && fails(faults->connect_percent, errors, 3)) return -1;
+    return REAL(connect)(fd, to, length);
+}
+
+int socket(int domain, int type, int protocol) {
+    static const int errors[] = {EMFILE, ENFILE, ENOBUFS};
+    if (faults && fails(faults->connect_percent, errors, 3)) return -1;
+    return REAL(socket)(domain, type, protocol);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    int result = REAL(clock_gettime)(clock, time);
+    if (result == 0 && clock == CLOCK_REALTIME && faults) {
+        int64_t ns = time->tv_nsec + faults->clock_offset_us % 1000000 * 1000;
+        time->tv_sec += faults->clock_offset_us / 1000000 + (ns < 0 ? -1 : ns >= 1000000000 ? 1 : 0);
+        time->tv_nsec = ns < 0 ? ns + 1000000000 : ns >= 1000000000 ? ns - 1000000000 : ns;
+    }
+    return result;
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -1,10 +1,16 @@
 //! The built proxy over loopback sockets: what must hold whatever clients, backends and discovery do.
 
 mod away;
+mod clocks;
 mod crowd;
+mod faults;
 mod leaving;
 mod reload;
+mod short_calls;
+mod slow_clients;
 mod sockets;
+mod time_left;
+mod unframed;
 use serde_json::{json, Value};
 use sockets::*;
 use std::io::{Read, Write};
--- a/tests/proxy/sockets.rs
+++ b/tests/proxy/sockets.rs
@@ -1,5 +1,6 @@
 //! The built proxy among small fake backends and a fake discovery on loopback.
 
+use crate::faults::Faults;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -352,7 +353,16 @@
 
     /// With the system's own limit on descriptors, which the configuration does not tell.
     pub fn spawn_with(config: &Value, descriptors: &str) -> Proxy {
-        let mut proxy = Proxy::launch(config, descriptors);
+        Proxy::launch(config, descriptors).listening()
+    }
+
+    /// On a machine with these faults.
+    pub fn spawn_among(faults: &Faults, config: &Value) -> Proxy {
+        Proxy::launch_among(Some(faults), config, "unlimited").listening()
+    }
+
+    fn listening(self) -> Proxy {
+        let mut proxy = self;
         until("the line that tells its address", || {
             let log = proxy.log();
             let told = log.lines().find_map(|l| l.split_once("listening on ")?.1.parse().ok());
@@ -363,6 +373,10 @@
 
     /// Starts one that need not come so far as to listen; its address is not known.
     pub fn launch(config: &Value, descriptors: &str) -> Proxy {
+        Proxy::launch_among(None, config, descriptors)
+    }
+
+    fn launch_among(faults: Option<&Faults>, config: &Value, descriptors: &str) -> Proxy {
         let name =
             format!("gaugesaddle-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
         let file = std::env::temp_dir().join(name);
@@ -373,6 +387,7 @@
             .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_gaugesaddle")])
             .env("BALANCER_CONFIG", &file)
             .env("GAUGESADDLE_LOG", "debug")
+            .envs(faults.iter().flat_map(|f| f.environment()))
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
