Forward answers without a length that their backend ends by closing properly

Seen: 0 of the whole answers with neither Content-Length nor Transfer-Encoding were forwarded; an effect that may not be repeated became a failure though it had run. Cause: exchange() called every unframed 200 a reset, for it could not tell a close from a loss. The system can: a reset shows as an error, once; what looks like an end after an error, or with one pending (SO_ERROR), is none. BackendSocket (out of upstream.rs) lets no end pass but the backend's own close. The same cause the other way round: any Transfer-Encoding counted as a framing, so that a gzip or identity body that was cut off passed for whole; a coding other than chunked is now an unreadable answer. Case 4 of what_may_have_run_is_not_sent_again held the old reading of a proper close; it now resets, as strict.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -1,6 +1,7 @@
 //! The HTTP proxy: start-up, signals and exit codes. Every decision is the library's.
 #![forbid(unsafe_code)]
 
+mod backend_socket;
 mod clock;
 mod config;
 mod driver;
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to backends: the pool, and one attempt to one outcome.
 
+use crate::backend_socket::{BackendSocket, Progress};
 use crate::clock::{duration, Clock};
 use beechworks::net::discovery::Target;
 use beechworks::{BackendState, Micros, Outcome, Time};
@@ -7,16 +8,14 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -147,63 +146,10 @@
     }
 }
 
-/// What has been done with a connection since the present request was given to it.
-#[derive(Default)]
-struct Progress {
-    /// Some byte was handed to the socket.
-    begun: Cell<bool>,
-    /// The last byte was: hyper flushes the socket only after its buffer is empty.
-    whole: Cell<bool>,
-}
-
-/// A socket that tells how far the request has come: what was not handed over whole has never run.
-struct Wire {
-    io: TokioIo<TcpStream>,
-    progress: Rc<Progress>,
-}
-
-impl Wire {
-    fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
-            self.progress.begun.set(true);
-        }
-        wrote
-    }
-}
-
-impl Read for Wire {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
-    }
-}
-
-impl Write for Wire {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.note(wrote)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context, bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.note(wrote)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.progress.whole.set(self.progress.begun.get());
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
-
 /// A connection, driven only by the attempt that uses it: dropping it closes the socket at once.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    driving: Pin<Box<Connection<Wire, Full<Bytes>>>>,
+    driving: Pin<Box<Connection<BackendSocket, Full<Bytes>>>>,
     progress: Rc<Progress>,
     /// The connection has run to its end.
     ended: bool,
@@ -316,8 +262,8 @@
         };
         let _ = stream.set_nodelay(true);
         let progress = Rc::new(Progress::default());
-        let wire = Wire { io: TokioIo::new(stream), progress: progress.clone() };
-        let (sender, connection) = http1::handshake(wire).await.map_err(|_| Outcome::ConnectFailed)?;
+        let socket = BackendSocket::new(stream, progress.clone());
+        let (sender, connection) = http1::handshake(socket).await.map_err(|_| Outcome::ConnectFailed)?;
         Ok(Link { sender, driving: Box::pin(connection), progress, ended: false, _slot: slot })
     }
 
@@ -405,13 +351,12 @@
 ) -> Result<Ended, Fault> {
     let answer = sender.send_request(request).await?;
     let (mut head, body) = answer.into_parts();
-    let framed = is_framed(&head.headers);
+    let readable = is_readable(&head.headers);
     // Whole before a byte of it goes on: a broken answer must not reach the client as a good one.
     let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|e| Fault::of_body(&*e))?.to_bytes();
     let unseen = || head.headers.get(&UNPROCESSED).is_some_and(|v| v.as_bytes() == b"1");
     Ok(match head.status {
-        // Where only the end of the connection ends the body, a short answer looks like a whole one.
-        StatusCode::OK if !framed => Outcome::Reset.into(),
+        StatusCode::OK if !readable => return Err(Fault::Unreadable),
         StatusCode::OK => {
             strip(&mut head.headers);
             Ended { outcome: Outcome::Ok, answer: Some(Response::from_parts(head, body)) }
@@ -421,9 +366,11 @@
     })
 }
 
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(hyper::header::CONTENT_LENGTH)
-        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
+/// Whether the body is as it was meant: a transfer coding other than chunked was not taken off it. Without one and
+/// without a length the body ends with its connection, and only where the backend closed that.
+fn is_readable(headers: &HeaderMap) -> bool {
+    let chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    headers.get_all(hyper::header::TRANSFER_ENCODING).iter().all(chunked)
 }
 
 /// Takes out what concerns one connection only.
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -196,7 +196,7 @@
         || Reply::Say("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n".into()),
         || Reply::SayAndClose(String::new()),
         || Reply::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort".into()),
-        || Reply::SayAndClose("HTTP/1.1 200 OK\r\n\r\nno length".into()),
+        || Reply::SayAndReset("HTTP/1.1 200 OK\r\n\r\nno length".into()),
         || Reply::SayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n".into()),
     ];
     for (n, first) in cases.into_iter().enumerate() {
--- a/tests/proxy/sockets.rs
+++ b/tests/proxy/sockets.rs
@@ -67,23 +67,35 @@
     Say(String),
     /// Writes this and closes it.
     SayAndClose(String),
+    /// Writes this and resets it.
+    SayAndReset(String),
     /// Nothing; the connection stays open.
     Silence,
 }
 
+/// How a connection ends.
+enum End {
+    Close,
+    /// As soon as nobody holds it any more.
+    Reset,
+}
+
 impl Reply {
     /// Does it on a connection; false where that is closed then.
     fn give(self, stream: &mut TcpStream) -> bool {
-        let (text, close) = match self {
-            Reply::Say(text) => (text, false),
-            Reply::SayAndClose(text) => (text, true),
+        let (text, then) = match self {
+            Reply::Say(text) => (text, None),
+            Reply::SayAndClose(text) => (text, Some(End::Close)),
+            Reply::SayAndReset(text) => (text, Some(End::Reset)),
             Reply::Silence => return true,
         };
         let _ = stream.write_all(text.as_bytes());
-        if close {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
+        match then {
+            None => return true,
+            Some(End::Close) => drop(stream.shutdown(std::net::Shutdown::Both)),
+            Some(End::Reset) => socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap(),
         }
-        !close
+        false
     }
 }
 
