Judge failed calls by what they say: one connection gone, means short, or the other side

Seen: with a fifth of the accepts failing 107 of 160 clients around SIGTERM were unanswered; a connect that failed with EADDRNOTAVAIL, ENOBUFS or ENETUNREACH used up a try and counted against its backend; a socket that failed for a moment ended the start, and a call of discovery waited its fleet's turn. Causes: a pause of 20 ms after any failed accept held up the whole loop, and the last look at the queue ended with the first failure; only EMFILE and ENFILE of a connect were known as this machine's own. net/failures.rs tells them apart. The acceptor goes on at once after a lost connection and waits 1 to 20 ms for means; after SIGTERM the queue is taken to its end (asked of the system, not of a readiness that may be old) within what is owed. net/dial.rs, used for backends and discovery alike, dials again within the time for a connection, as for a place among the pool's sockets, which cost a try before. The start waits up to 5 s for means.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -1,6 +1,7 @@
 //! The HTTP proxy: start-up, signals and exit codes. Every decision is the library's.
 #![forbid(unsafe_code)]
 
+mod acceptor;
 mod backend_socket;
 mod clock;
 mod config;
@@ -10,17 +11,27 @@
 mod server;
 mod upstream;
 
-use beechworks::net::discovery;
+use beechworks::net::{discovery, failures};
 use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
 
+/// At the start the means of this machine may be short for so long; they are looked for this often.
+const MEANS_WITHIN: Duration = Duration::from_secs(5);
+const MEANS_PAUSE: Duration = Duration::from_millis(5);
+
+/// Connections that the system keeps for the proxy until it takes them.
+const LISTEN_QUEUE: u32 = 1024;
+
 fn main() -> ExitCode {
     let verbose = std::env::var("GAUGESADDLE_LOG").ok().and_then(|l| l.parse().ok());
     let level = verbose.unwrap_or(tracing::Level::INFO);
@@ -35,16 +46,36 @@
 }
 
 fn run(config: config::Config) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = with_means(build).map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config))
 }
 
+/// Tries again for a while what fails because the means of this machine are short: a start that fails is a crash.
+fn with_means<T>(attempt: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    let end = Instant::now() + MEANS_WITHIN;
+    loop {
+        match attempt() {
+            Err(e) if failures::is_short_of_means(&e) && Instant::now() < end => {
+                std::thread::sleep(MEANS_PAUSE)
+            }
+            done => return done,
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_QUEUE)
+}
+
 async fn serve(config: config::Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = with_means(|| listen(config.listen));
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
     // Where it was told port 0 this line alone tells the port.
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,5 +1,6 @@
 //! The client side: connections, the form of requests, answers.
 
+use crate::acceptor::{Acceptor, Queue};
 use crate::clock::{duration, Clock};
 use crate::config::Settings;
 use crate::driver::{Answer, Arrived, Input, Status};
@@ -47,8 +48,6 @@
 /// With every connection taken, one that has brought nothing for so long makes room: a client's request follows its
 /// connection by far less, while one that came for nothing would keep the next clients waiting for the time of a head.
 const SILENT_MOST: Duration = Duration::from_millis(300);
-/// After a failed accept (out of descriptors, say) the next is tried this much later.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
 const MARGIN_TICKS: u64 = 2;
 
@@ -136,6 +135,7 @@
 impl Server {
     /// Serves until `stop`; returns when all that was taken is answered.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+        let mut acceptor = Acceptor::new(listener);
         tokio::pin!(stop);
         let end = tokio::time::sleep(Duration::MAX);
         tokio::pin!(end);
@@ -154,27 +154,30 @@
                 () = &mut end, if self.stopping.get() => break,
                 () = self.freed.notified() => {}
                 () = tokio::time::sleep_until(self.clock.instant(room)) => {}
-                accepted = listener.accept(), if self.links.borrow().len() < self.most => match accepted {
-                    Ok((stream, _)) => self.clone().serve(stream),
-                    Err(e) => {
-                        tracing::warn!("accept: {e}");
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                    }
-                },
+                stream = acceptor.accept(), if self.links.borrow().len() < self.most => self.clone().serve(stream),
             }
         }
-        // What the kernel has accepted meanwhile counts as taken.
-        while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().serve(stream);
-        }
-        drop(listener);
+        // What the system has accepted meanwhile counts as taken.
+        let queue = acceptor.into_queue().inspect_err(|e| tracing::error!("the queue of connections: {e}"));
         let last = self.clock.instant(last + LAST_WRITE);
+        let _ = tokio::time::timeout_at(last, self.finish(queue.ok())).await;
+    }
+
+    /// Serves what waits in the queue and what is open, until nothing is.
+    async fn finish(self: Rc<Self>, mut queue: Option<Queue>) {
         loop {
             self.links.borrow().values().filter(|l| l.idle_since().is_some()).for_each(|l| l.tell_to_close());
-            let freed = tokio::time::timeout_at(last, self.freed.notified());
-            if self.links.borrow().is_empty() || freed.await.is_err() {
+            if queue.is_none() && self.links.borrow().is_empty() {
                 return;
             }
+            tokio::select! {
+                biased;
+                waited = next_of(&mut queue) => match waited {
+                    Some(stream) => self.clone().serve(stream),
+                    None => queue = None,
+                },
+                () = self.freed.notified() => {}
+            }
         }
     }
 
@@ -338,6 +341,14 @@
     }
 }
 
+/// The next connection of the queue, none once it is empty; where there is no queue any more, never ready.
+async fn next_of(queue: &mut Option<Queue>) -> Option<TcpStream> {
+    match queue {
+        Some(queue) => queue.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What the module needs to know of a request; a message if its form is wrong.
 fn read(settings: &Settings, head: &Parts, length: Option<u64>) -> Result<Form, &'static str> {
     let (headers, Settings { names, module, .. }) = (&head.headers, settings);
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::backend_socket::{BackendSocket, Progress};
 use crate::clock::{duration, Clock};
+use beechworks::net::dial::{self, DialError};
 use beechworks::net::discovery::Target;
 use beechworks::{BackendState, Micros, Outcome, Time};
 use bytes::Bytes;
@@ -16,7 +17,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// The most that a body holds, either way.
@@ -245,22 +245,24 @@
         }
     }
 
-    async fn connect(&self, to: SocketAddr) -> Result<Link, Outcome> {
+    /// One of the sockets that backends may take, if there is any left.
+    fn reserve(&self) -> Option<Slot> {
         if self.is_full() {
-            return Err(Outcome::NeverSent); // our own want of sockets says nothing against the backend
+            return None;
         }
         self.sockets.set(self.sockets.get() + 1);
-        let slot = Slot(self.sockets.clone());
-        let dialled = tokio::time::timeout(duration(self.dial_timeout.get()), TcpStream::connect(to)).await;
-        let stream = match dialled {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::NeverSent),
-            failed => {
-                tracing::debug!("dial {to}: {failed:?}");
-                return Err(Outcome::ConnectFailed);
+        Some(Slot(self.sockets.clone()))
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Link, Outcome> {
+        let dialled = dial::dial(to, duration(self.dial_timeout.get()), || self.reserve()).await;
+        let (stream, slot) = dialled.map_err(|e| {
+            tracing::debug!("dial {to}: {e}");
+            match e {
+                DialError::NoMeans => Outcome::NeverSent, // it says nothing against the backend
+                DialError::Refused(_) | DialError::TimedOut => Outcome::ConnectFailed,
             }
-        };
-        let _ = stream.set_nodelay(true);
+        })?;
         let progress = Rc::new(Progress::default());
         let socket = BackendSocket::new(stream, progress.clone());
         let (sender, connection) = http1::handshake(socket).await.map_err(|_| Outcome::ConnectFailed)?;
@@ -331,11 +333,6 @@
     }
 }
 
-/// EMFILE or ENFILE.
-pub fn out_of_descriptors(e: &io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(23 | 24))
-}
-
 fn request(call: &Call, left: u64) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method().clone();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of backends: its form, and the watch on it.
 
+use super::dial::{self, DialError};
 use crate::settings::{number, Key};
 use crate::{Backend, BackendId, BackendState, CellId, Discovery, KindId, ListUpdate, Time, ZoneId};
 use bytes::Bytes;
@@ -11,7 +12,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
@@ -103,9 +103,15 @@
     }
 }
 
-async fn dial(to: SocketAddr) -> Result<Line, String> {
-    let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
-    let _ = stream.set_nodelay(true);
+/// A connection within that time. The call that it is for waits while the means of this machine are short.
+async fn connect(to: SocketAddr, within: Duration) -> Result<Line, String> {
+    let stream = loop {
+        match dial::dial(to, within, || Some(())).await {
+            Ok((stream, ())) => break stream,
+            Err(DialError::NoMeans) => tracing::debug!("discovery: {}", DialError::NoMeans),
+            Err(failure) => return Err(failure.to_string()),
+        }
+    };
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let driving = tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
@@ -283,8 +289,7 @@
 ) -> Result<List, String> {
     if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
         // Where the way is cut no connection comes up: the time for an answer is not for waiting on that.
-        let dialled = tokio::time::timeout(dial_timeout, dial(address)).await;
-        *line = Some(dialled.map_err(|_| "no connection in time")??);
+        *line = Some(connect(address, dial_timeout).await?);
     }
     match line {
         Some(line) => ask(line, address, path).await,
--- a/src/net/failures.rs
+++ b/src/net/failures.rs
@@ -2,41 +2,22 @@
 
 use std::io;
 
-/// A failed accept was over one connection, which is gone; the next may be taken at once. Otherwise the means of this
-/// machine are short.
-pub fn concerns_one_connection(failure: &io::Error) -> bool {
-    let codes = [
-        libc::ECONNABORTED,
-        libc::ECONNRESET,
-        libc::EINTR,
-        libc::EPERM,
-        libc::EPROTO,
-        libc::ENOPROTOOPT,
-        libc::EOPNOTSUPP,
-        libc::ENETDOWN,
-        libc::ENETUNREACH,
-        libc::EHOSTDOWN,
-        libc::EHOSTUNREACH,
-        libc::ENONET,
-        libc::ETIMEDOUT,
-    ];
+/// Descriptors, memory or buffers are short; they may be there again in a moment.
+const SHORT_OF_MEANS: [i32; 7] =
+    [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::ENOSPC, libc::EAGAIN, libc::EINTR];
+/// This machine has no address or route for a connection.
+const NO_WAY_OUT: [i32; 4] = [libc::EADDRINUSE, libc::EADDRNOTAVAIL, libc::ENETDOWN, libc::ENETUNREACH];
+
+fn is_one_of(failure: &io::Error, codes: &[i32]) -> bool {
     failure.raw_os_error().is_some_and(|code| codes.contains(&code))
 }
 
-/// A failed dial was for want of this machine's own means: it says nothing of the other side.
+/// The means of this machine were short.
+pub fn is_short_of_means(failure: &io::Error) -> bool {
+    is_one_of(failure, &SHORT_OF_MEANS)
+}
+
+/// A failed dial was for want of this machine's own: it says nothing of the other side.
 pub fn is_of_this_machine(failure: &io::Error) -> bool {
-    let codes = [
-        libc::EMFILE,
-        libc::ENFILE,
-        libc::ENOBUFS,
-        libc::ENOMEM,
-        libc::ENOSPC,
-        libc::EAGAIN,
-        libc::EINTR,
-        libc::EADDRINUSE,
-        libc::EADDRNOTAVAIL,
-        libc::ENETDOWN,
-        libc::ENETUNREACH,
-    ];
-    failure.raw_os_error().is_some_and(|code| codes.contains(&code))
+    is_short_of_means(failure) || is_one_of(failure, &NO_WAY_OUT)
 }
