Place the starts of backends by the list alone, whatever the wall clock says

Seen: by a proxy whose wall clock is 15 s or an hour ahead, a backend that has just started is sent 0.24 to 0.27 of the requests, an even part, where its slow start allows some 0.03; with the clock an hour behind it would stay cold for an hour. Cause: since_ms, the time of other clocks, was set against the clock of this machine as it was read at the start. net/start_times.rs, used by the proxy and the hollow ones, places them on the process's own monotonic clock: no start lies later than the list that tells it, and news has started no longer ago than the last answer without it. What a first list or one from before (`known`) names is taken as started as late as the list allows: its newest just now.

--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -7,6 +7,7 @@
 use crate::site::{settings, STOP_SENDING_US};
 use crate::wire;
 use beechworks::net::discovery::{Target, Terms, Watch};
+use beechworks::net::start_times::StartTimes;
 use beechworks::settings::{read, Key};
 use beechworks::*;
 use hdrhistogram::Histogram;
@@ -252,7 +253,7 @@
 type News = mpsc::Receiver<(ListUpdate, Vec<Target>)>;
 
 /// Starts the watch of a proxy.
-fn watch_list(config: &Config, shared: &Shared) -> (Rc<Notify>, News, JoinHandle<()>) {
+fn watch_list(config: &Config, shared: &Shared, clock: Clock) -> (Rc<Notify>, News, JoinHandle<()>) {
     let (follow, (tell, news)) = (Rc::new(Notify::new()), mpsc::channel(NEWS));
     let terms = Terms {
         dial_timeout: DIAL,
@@ -265,6 +266,8 @@
         terms: Rc::new(Cell::new(terms)),
         index: None,
         follow: follow.clone(),
+        now: Box::new(move || clock.at(Instant::now())),
+        starts: StartTimes::default(),
         tell: Box::new(move |update, targets| {
             if tell.try_send((update, targets)).is_err() {
                 tracing::error!("a proxy does not take its news");
@@ -284,12 +287,13 @@
     fn new(position: u32, shared: Shared) -> Result<Proxy, String> {
         let (config, _) = read(&Key::root(&settings(&shared.point, position)))?;
         let seed = shared.point.seed.wrapping_mul(1_000_003).wrapping_add(u64::from(position));
-        let (follow, news, watching) = watch_list(&config, &shared);
+        let clock = Clock::new();
+        let (follow, news, watching) = watch_list(&config, &shared, clock);
         Ok(Proxy {
             balancer: Balancer::new(config.clone(), seed).map_err(|e| e.to_string())?,
             config,
             position,
-            clock: Clock::new(),
+            clock,
             dice: Pcg32::seed_from_u64(seed),
             started: Instant::now(),
             ready: false,
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -12,6 +12,7 @@
 mod server;
 mod upstream;
 
+use beechworks::net::start_times::StartTimes;
 use beechworks::net::{discovery, failures};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -104,12 +105,20 @@
     });
     let (moved, address) = watch::channel(config.discovery);
     let terms = Rc::new(Cell::new(reload::watch_terms(settings)));
+    let fixed = reload::Fixed::of(&config);
+    let index = config.known.as_ref().map(|known| known.index);
+    // Without a list from before the module still has to hear of its start: only then does it ask for one.
+    let mut known = config.known.map(|known| known.targets).unwrap_or_default();
+    let mut starts = StartTimes::default();
+    starts.place(clock.now(), true, &mut known);
     let watch = discovery::Watch {
         address,
         mode: settings.module.discovery,
         terms: terms.clone(),
-        index: config.known.as_ref().map(|k| k.index),
+        index,
         follow: follow.clone(),
+        now: Box::new(move || clock.now()),
+        starts,
         tell: {
             let inputs = sender.clone();
             Box::new(move |update, targets| {
@@ -117,9 +126,6 @@
             })
         },
     };
-    let fixed = reload::Fixed::of(&config);
-    // Without a list from before the module still has to hear of its start: only then does it ask for one.
-    let known = config.known.map(|known| known.targets).unwrap_or_default();
     let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known));
     let shared = driver::Shared { pool, inputs: sender, follow, status };
     let driver = driver::Driver::new(config.settings, config.seed, shared);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of backends: its form, and the watch on it.
 
 use super::dial::{self, DialError};
+use super::start_times::StartTimes;
 use crate::settings::{number, Key};
 use crate::{Backend, BackendId, BackendState, CellId, Discovery, KindId, ListUpdate, Time, ZoneId};
 use bytes::Bytes;
@@ -160,6 +161,10 @@
     pub index: Option<u64>,
     /// The module asks for changes; a pushed list is watched unasked.
     pub follow: Rc<Notify>,
+    /// Time for the starts of backends, by the clock of this process.
+    pub now: Box<dyn Fn() -> Time>,
+    /// When the backends of the list last had started.
+    pub starts: StartTimes,
     /// Is called with all news of the list, in order.
     pub tell: Box<dyn Fn(ListUpdate, Vec<Target>)>,
 }
@@ -240,8 +245,9 @@
                     (self.index, watching) = (None, true);
                     continue;
                 }
-                Heard::Told(list) => {
+                Heard::Told(mut list) => {
                     tracing::debug!("discovery: version {}, {} lines", list.index, list.targets.len());
+                    self.starts.place((self.now)(), list.whole, &mut list.targets);
                     (watching, backoff, self.index) = (true, BACKOFF, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,3 +3,4 @@
 pub mod dial;
 pub mod discovery;
 pub mod failures;
+pub mod start_times;
--- a/src/net/start_times.rs
+++ b/src/net/start_times.rs
@@ -6,7 +6,7 @@
 //! too late only lets its backend warm up too late; one that is placed too early would skip its slow start.
 
 use super::discovery::Target;
-use crate::{BackendId, BackendState, Micros, Time};
+use crate::{BackendId, BackendState, Time};
 use std::collections::{HashMap, HashSet};
 
 /// A start as the list told it, and where it was placed.
@@ -19,14 +19,14 @@
 #[derive(Default)]
 pub struct StartTimes {
     placed: HashMap<BackendId, Placed>,
-    /// This clock less the list's, in microseconds: no more than this, for no start that was told lay ahead.
+    /// This clock less the list's, in microseconds, is no more than this: no start that was told lay ahead.
     offset: Option<i64>,
     /// When the last list came. `None`: nothing is known of backends before the first.
     heard: Option<Time>,
 }
 
 impl StartTimes {
-    /// Takes news of the list that came at `now`, a whole list or changes, and replaces the starts in it.
+    /// Takes news of the list that came at `now`, a whole list or changes (also none), and replaces the starts in it.
     pub fn place(&mut self, now: Time, whole: bool, targets: &mut [Target]) {
         for told in targets.iter().filter_map(|t| t.backend.booted) {
             let ahead = now.0 as i64 - told.0 as i64;
@@ -56,9 +56,9 @@
         if let Some(placed) = self.placed.get(&id).filter(|placed| placed.told == told) {
             return placed.at;
         }
-        let at = Time(told.0.saturating_add_signed(self.offset.unwrap_or(0)));
+        let latest = Time(told.0.saturating_add_signed(self.offset.unwrap_or(0)));
         let earliest = self.heard.unwrap_or(Time(0)).min(now);
-        let at = at.clamp(earliest, now).max(Time(0) + Micros(1));
+        let at = latest.clamp(earliest, now);
         self.placed.insert(id, Placed { told, at });
         at
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -1,7 +1,8 @@
 //! The watch on the list of backends, against a stand-in of discovery on loopback.
 
 use beechworks::net::discovery::{Target, Terms, Watch};
-use beechworks::{Discovery, ListUpdate, Micros};
+use beechworks::net::start_times::StartTimes;
+use beechworks::{Discovery, ListUpdate, Micros, Time};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +26,8 @@
         terms: Rc::new(Cell::new(Terms { dial_timeout, stop_sending, place: 0.0 })),
         index: Some(1),
         follow: follow.clone(),
+        now: Box::new(Time::default),
+        starts: StartTimes::default(),
         tell: Box::new(move |update, targets| {
             let _ = sender.send((update, targets));
         }),
