End the window of repeats 0.15 s early, as long as the process may be held up

Cause: repeats_end() left a tick between the last repeat and the end of its window, which is enough for a late wake-up and not for a hold-up between the clock and the write. A class whose window is no longer than that is not repeated.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const RETRY_RATIO: f64 = 0.2;
 /// Least worth of a client's repeat beside a first try: some still come in time.
 const LATE_FLOOR: f64 = 0.1;
+/// The host may be held up for so long between reading its clock and writing.
+const HOLD_UP: Micros = Micros(150_000);
 /// Part of the time between an unloaded answer and the aim within which an answer is brisk: at twice that the
 /// tail is past the aim.
 const BRISK: f64 = 0.25;
@@ -384,7 +386,7 @@
     fn repeats_end(&self, r: &Request) -> Option<Time> {
         let Effect::Keyed(_, window) = r.terms.effect else { return None };
         let first = r.sent.iter().filter(|s| !s.never_ran).map(|s| s.at).min()?;
-        Some(Time((first + window).0.saturating_sub(self.cfg.tick.0)))
+        Some(Time((first + window).0.saturating_sub(self.cfg.tick.max(HOLD_UP).0)))
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
