Test that fails: connections of a proxy grow 2.7 times in a large fleet; count them in the scale runs

900 proxies before 3200 backends beside 300 before 200, half of them replaced within 25 s: 59 connections made by the module's choices beside 22, 33 held beside 11, the mean of six proxies. The users' table allows 2.5 times and 40 more.

--- a/scale/src/backends.rs
+++ b/scale/src/backends.rs
@@ -53,6 +53,8 @@
 /// What all of them counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
+    /// Connections that came up.
+    pub connections: u64,
     /// Requests that reached them.
     pub reached: u64,
     /// Those turned away.
@@ -103,6 +105,11 @@
         self.with(|held| held.counts)
     }
 
+    /// A connection to a backend has come up.
+    fn connected(&self) {
+        self.with(|held| held.counts.connections += 1);
+    }
+
     /// A request has reached a backend.
     pub fn arrive(&self, backend: usize, now: Instant) -> Reception {
         let nature = &self.nature;
@@ -196,6 +203,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
+                fleet.connected();
                 tokio::task::spawn_local(converse(fleet.clone(), number, stream));
             }
             Err(e) => {
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -284,6 +284,7 @@
         ("lost", count(tally.lost)),
         ("unsent", count(tally.unsent)),
         ("crossed", count(tally.crossed)),
+        ("connections_to_backends", count(backends.connections)),
         ("sent_to_draining", count(backends.turned_away)),
         ("sent_to_draining_late", count(backends.late)),
         ("cold_sum_of_limit", Some(backends.cold)),
