Keep the windows of very large fleets to ten backends of a kind

Cause of the connections that grew 2.7 times: a window is as wide as eight proxies on each backend make it, 14 backends of a kind for 900 proxies before 3200, where 3 are used in the usual fleet; each costs a connection, another when it is replaced, another when the window moves. It is now narrowed to ten so far as five to eight proxies still use each. Where windows are narrowed they cover a backend less evenly; there a cold one's limit is shared among those that do cover it, counted, not among the mean.

--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -11,6 +11,13 @@
 /// told nowhere. Twice the hold: what it may have in hand finds a connection that stands, and windows that
 /// have moved on leave some behind for a while.
 const REACH: f64 = 2.0 * HOLD;
+/// In a fleet of very many at least so many use one, whatever a window would need: fewer load the backends unevenly.
+const LEAST_REACH: f64 = 5.0;
+/// Up to so many proxies windows are as wide as the reach: few share the limit of a cold backend in coarse parts.
+const FEW: f64 = 100.0;
+/// Backends of a kind in a window at most, so far as that many proxies still use each: each costs a connection, and
+/// another one when it is replaced or the window moves.
+const MOST: f64 = 10.0;
 /// Backends of a kind in a window at least: one may be ill and another busy.
 const LEAST: f64 = 3.0;
 /// Its multiples lie evenly on a ring, whichever run of the proxies is alive.
@@ -22,6 +29,18 @@
     ((shared(start) + shared(start - 1.0)) / (arc.1 - arc.0).max(1e-12)).min(1.0)
 }
 
+/// What all windows together have of an arc: the sum of its parts that lie in them, and in how many some part does.
+fn coverage(arc: (f64, f64), width: f64, proxies: u32) -> (f64, f64) {
+    let starts = (0..proxies).map(window_start);
+    let parts = starts.map(|start| overlap(arc, start, width)).filter(|part| *part > 0.0);
+    parts.fold((0.0, 0.0), |all, part| (all.0 + part, all.1 + 1.0))
+}
+
+/// Where the window of the proxy at that position begins.
+fn window_start(position: u32) -> f64 {
+    (f64::from(position) * GOLDEN).fract()
+}
+
 impl Balancer {
     /// Lays every kind's backends on a ring, each on an arc as long as it is warm, and finds what this
     /// proxy's window covers. Only what all proxies are told alike counts: so their windows fit together.
@@ -35,15 +54,23 @@
         for p in self.peers.values_mut() {
             rings.entry(p.entry.kind).or_default().push((arc(p), p));
         }
-        let start = (f64::from(cfg.position) * GOLDEN).fract();
+        let start = window_start(cfg.position);
         for (kind, mut ring) in rings {
             let count = ring.iter().filter(|(arc, _)| *arc > 0.0).count() as f64;
             let length: f64 = ring.iter().map(|(arc, _)| arc).sum();
-            let width = (REACH / proxies).max(LEAST / count.max(1.0)).min(1.0);
+            let least = LEAST_REACH + (REACH - LEAST_REACH) * (FEW / proxies).min(1.0);
+            let reach = (MOST * proxies / count.max(1.0)).clamp(least, REACH);
+            let width = (reach / proxies).max(LEAST / count.max(1.0)).min(1.0);
             let (mut at, mut covered) = (0.0, 0.0);
             for (arc, p) in &mut ring {
                 let end = at + *arc / length.max(1e-12);
                 p.slice = if width < 1.0 { overlap((at, end), start, width) } else { 1.0 };
+                (p.covered, p.users) = (width * proxies, width * proxies);
+                if reach < REACH && p.slice > 0.0 && *arc < 1.0 {
+                    // Few windows lie evenly only on the whole, and the sum holds a cold backend to its limit.
+                    let (covered, users) = coverage((at, end), width, cfg.proxies);
+                    (p.covered, p.users) = (p.covered.max(covered), p.users.max(users));
+                }
                 (at, covered) = (end, covered + p.ready * p.slice);
             }
             let k = self.kinds.entry(kind).or_default();
@@ -51,7 +78,7 @@
             if covered <= 0.0 {
                 // All in the window are out of use: better any other of the kind than none.
                 (k.width, k.gain) = (1.0, 1.0);
-                ring.iter_mut().for_each(|(_, p)| p.slice = 1.0);
+                ring.iter_mut().for_each(|(_, p)| (p.slice, p.covered, p.users) = (1.0, proxies, proxies));
             }
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -373,7 +373,7 @@
             p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
             let part = due * bias * p.slice * k.gain + p.ready * 1e-6;
-            p.pull = part.min(most * p.slice.max(1e-6) / k.width);
+            p.pull = part.min(most * p.slice.max(1e-6) * proxies / p.covered.max(1e-6));
             if p.ready > 0.0 {
                 k.pull += p.pull;
                 k.line.push((id, k.pull));
--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -52,9 +52,7 @@
         if limit == f64::INFINITY {
             return true;
         }
-        let width = self.kinds.get(&p.entry.kind).map_or(1.0, |k| k.width);
-        let users = (f64::from(self.cfg.proxies) * width).max(1.0);
-        let part = limit * MARGIN / users / work;
+        let part = limit * MARGIN / p.users.max(1.0) / work;
         if part < 1.0 {
             // Even one request each were too many: one each in several windows, the first ones in turn.
             let apart = self.cfg.fall_window.times(1.0 / part);
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,10 @@
     pub ready: f64,
     /// Part of it that this proxy's window covers.
     pub slice: f64,
+    /// Windows of all proxies on it: the sum of their parts of it, and how many have some part; while it is cold no less
+    /// than there are.
+    pub covered: f64,
+    pub users: f64,
     /// Its part of this proxy's traffic.
     pub pull: f64,
     /// How many attempts of this proxy it may hold.
