--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -8,6 +8,7 @@
 mod reload;
 mod short_calls;
 mod slow_clients;
+mod soak;
 mod sockets;
 mod time_left;
 mod unframed;
--- a/tests/proxy/sockets.rs
+++ b/tests/proxy/sockets.rs
@@ -443,6 +443,12 @@
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
+    /// Ends it at once, if it has not ended.
+    pub fn kill(&self) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-KILL", &pid]).stderr(Stdio::null()).status();
+    }
+
     /// Replaces the configuration file, whole at once, and tells the proxy.
     pub fn reload(&self, text: &str) {
         let next = self.file.with_extension("next");
@@ -489,6 +495,10 @@
     pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
         self.stream.get_mut().write_all(text.as_bytes())
     }
+    /// An answer that has not come after so long does not count.
+    pub fn wait_for_at_most(&mut self, longest: Duration) {
+        self.stream.get_ref().set_read_timeout(Some(longest)).unwrap();
+    }
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
     }
