Tests that fail: a hold-up around SIGTERM, and a reload that finds no means for a moment

Held up for 0.15 s as SIGTERM comes and again before the kill, a proxy before a backend that hangs answers 1.75 s after the signal, where the kill may come after 1.7 s. With half of the opens of the file and of the threads failing with EMFILE, ENFILE, ENOMEM and EAGAIN the second of ten reloads was not made: discovery stays where it was for good.

--- a/tests/proxy/faults.c
+++ b/tests/proxy/faults.c
@@ -4,8 +4,10 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -15,6 +17,7 @@
     int64_t clock_offset_us;
     int64_t accept_percent;
     int64_t connect_percent;
+    int64_t reload_percent;
 };
 
 static volatile const struct faults *faults;
@@ -62,6 +65,22 @@
     return REAL(socket)(domain, type, protocol);
 }
 
+/* The configuration file alone: nothing else that a proxy opens is named so. */
+int open64(const char *path, int flags, ...) {
+    static const int errors[] = {EMFILE, ENFILE, ENOMEM};
+    size_t length = strlen(path);
+    int is_config = length > 5 && strcmp(path + length - 5, ".json") == 0;
+    if (faults && is_config && fails(faults->reload_percent, errors, 3)) return -1;
+    return REAL(open64)(path, flags, 0600);
+}
+
+int pthread_create(pthread_t *restrict thread, const pthread_attr_t *restrict attr, void *(*run)(void *),
+                   void *restrict arg) {
+    static const int errors[] = {EAGAIN};
+    if (faults && fails(faults->reload_percent, errors, 1)) return EAGAIN;
+    return REAL(pthread_create)(thread, attr, run, arg);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *time) {
     int result = REAL(clock_gettime)(clock, time);
     if (result == 0 && clock == CLOCK_REALTIME && faults) {
--- a/tests/proxy/faults.rs
+++ b/tests/proxy/faults.rs
@@ -16,7 +16,8 @@
 const CLOCK_OFFSET: u64 = 0;
 const ACCEPT_PERCENT: u64 = 8;
 const CONNECT_PERCENT: u64 = 16;
-const SIZE: usize = 24;
+const RELOAD_PERCENT: u64 = 24;
+const SIZE: usize = 32;
 
 /// What goes wrong with the system calls of one proxy.
 pub struct Faults {
@@ -53,6 +54,11 @@
         self.set(CONNECT_PERCENT, percent);
     }
 
+    /// So many in a hundred of the threads and of the reads of the configuration cannot be begun.
+    pub fn fail_reloads(&self, percent: i64) {
+        self.set(RELOAD_PERCENT, percent);
+    }
+
     /// The environment of a proxy that meets them.
     pub fn environment(&self) -> [(&'static str, &Path); 2] {
         [("FAULTS", &self.path), ("LD_PRELOAD", preloaded())]
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -838,6 +838,39 @@
     }
 }
 
+/// The signal comes while the process is held up, and it is held up again as the time is over: SIGKILL does not wait
+/// for that.
+#[test]
+fn a_process_that_is_held_up_brings_every_answer_before_the_kill_too() {
+    const HELD_UP: Duration = Duration::from_millis(150);
+    let backend = Backend::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let longest = Duration::from_millis(1000);
+    for profile in config["settings"]["profiles"].as_array_mut().unwrap() {
+        profile["deadline_us"] = json!(longest.as_micros() as u64);
+        profile["aim_us"] = json!(500_000);
+    }
+    let kill = longest + Duration::from_millis(700);
+    // The second hold-up begins at several moments before the kill.
+    for before_kill in [290, 270, 250, 230, 210, 190, 170] {
+        let proxy = Proxy::start(&config);
+        let mut client = Client::open(proxy.address);
+        client.send(&request("pay", 60_000));
+        until("it came", || proxy.log().matches(" came with ").count() == 1);
+        let mut began = Instant::now();
+        proxy.hold_up(HELD_UP, || {
+            began = Instant::now();
+            proxy.terminate();
+        });
+        std::thread::sleep((kill - Duration::from_millis(before_kill)).saturating_sub(began.elapsed()));
+        proxy.hold_up(HELD_UP, || {});
+        client.wait_for_at_most(Duration::from_secs(2));
+        let status = client.answer().map(|a| a.status());
+        assert!(status == Some(502) && began.elapsed() < kill, "{status:?} after {:?}", began.elapsed());
+    }
+}
+
 /// Half a request that has come when the idle connections are closed is no idle connection's: the rest is waited for.
 #[test]
 fn sigterm_waits_for_the_rest_of_a_request_that_has_begun() {
--- a/tests/proxy/short_calls.rs
+++ b/tests/proxy/short_calls.rs
@@ -74,3 +74,26 @@
     }
     assert!(!proxy.log().contains("asking again"), "{}", proxy.log());
 }
+
+/// A file that cannot be opened, or a thread that cannot be begun, for a moment is no file that cannot be used: what
+/// discovery tells at its new address counts 4 s after the signal.
+#[test]
+fn a_reload_that_finds_no_means_for_a_moment_is_made_all_the_same() {
+    let (backend, faults) = (Backend::start(|_| ok("x")), Faults::none());
+    let mut discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    let proxy = Proxy::spawn_among(&faults, &config);
+    until("ready", || proxy.ready() == 200);
+    faults.fail_reloads(50);
+    for n in 0..10 {
+        discovery = Discovery::start();
+        config["discovery"] = serde_json::json!(discovery.address.to_string());
+        proxy.reload(&config.to_string());
+        let began = Instant::now();
+        let calls = || discovery.calls() > 0;
+        while !calls() && began.elapsed() < Duration::from_secs(4) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        assert!(calls(), "reload {n}: {}", proxy.log());
+    }
+}
