Let a hold-up around SIGTERM, or a moment without means at a reload, lose nothing

Causes: the last answers were due 0.6 s after the longest deadline, counted from when SIGTERM was seen, 0.1 s before the kill; a hold-up of 0.15 s before or at that time carries them past it, and the process ended 0.1 s later by the clock though it had not run since. They are due 0.5 s after, counted from when the signal may have come, and what is owed then is waited for from when the process runs again.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -22,7 +22,6 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
@@ -30,10 +29,6 @@
 /// Descriptors kept for the listener, discovery, signals, standard streams and the runtime.
 const RESERVE: usize = 32;
 
-/// At the start the means of this machine may be short for so long; they are looked for this often.
-const MEANS_WITHIN: Duration = Duration::from_secs(5);
-const MEANS_PAUSE: Duration = Duration::from_millis(5);
-
 /// Connections that the system keeps for the proxy until it takes them.
 const LISTEN_QUEUE: u32 = 1024;
 
@@ -60,23 +55,10 @@
             .on_thread_unpark(move || watched.looked())
             .build()
     };
-    let runtime = with_means(build).map_err(|e| format!("runtime: {e}"))?;
+    let runtime = failures::with_means(build).map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config, clock, event_loop))
 }
 
-/// Tries again for a while what fails because the means of this machine are short: a start that fails is a crash.
-fn with_means<T>(attempt: impl Fn() -> io::Result<T>) -> io::Result<T> {
-    let end = Instant::now() + MEANS_WITHIN;
-    loop {
-        match attempt() {
-            Err(e) if failures::is_short_of_means(&e) && Instant::now() < end => {
-                std::thread::sleep(MEANS_PAUSE)
-            }
-            done => return done,
-        }
-    }
-}
-
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
@@ -88,7 +70,7 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let listener = with_means(|| listen(config.listen));
+    let listener = failures::with_means(|| listen(config.listen));
     let listener =
         listener.map_err(|e| format!("listen: expected a free address, got {}: {e}", config.listen))?;
     // Where it was told port 0 this line alone tells the port.
--- a/src/bin/gaugesaddle/reload.rs
+++ b/src/bin/gaugesaddle/reload.rs
@@ -5,8 +5,10 @@
 use crate::driver::{Configured, Input};
 use crate::server::Server;
 use beechworks::net::discovery::Terms;
+use beechworks::net::failures;
 use beechworks::{ConfigUpdate, Discovery};
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -114,6 +116,21 @@
 
     /// Reads the file without keeping the requests waiting. The end of the process does not wait for it.
     async fn read(&self) -> Result<Loaded, String> {
+        let end = tokio::time::Instant::now() + failures::MEANS_WITHIN;
+        let loaded = loop {
+            match self.begin_to_read() {
+                Ok(loaded) => break loaded,
+                Err(e) if failures::is_short_of_means(&e) && tokio::time::Instant::now() < end => {
+                    tokio::time::sleep(failures::MEANS_PAUSE).await;
+                }
+                Err(e) => return Err(format!("no thread to read it: {e}")),
+            }
+        };
+        loaded.await.map_err(|_| "the thread that read it ended")?
+    }
+
+    /// Begins the thread that reads the file.
+    fn begin_to_read(&self) -> io::Result<oneshot::Receiver<Result<Loaded, String>>> {
         let (fixed, held) = (self.fixed, self.server.settings.borrow().clone());
         let (told, loaded) = oneshot::channel();
         let (retired, given_back) = sync_channel(HOLDERS);
@@ -121,9 +138,8 @@
             let _ = told.send(load(fixed, &held, retired));
             free(held, given_back);
         };
-        let thread = std::thread::Builder::new().name("reload".into()).spawn(read);
-        thread.map_err(|e| format!("no thread to read it: {e}"))?;
-        loaded.await.map_err(|_| "the thread that read it ended")?
+        std::thread::Builder::new().name("reload".into()).spawn(read)?;
+        Ok(loaded)
     }
 
     /// Requests before and after this step each find one configuration: no task runs meanwhile, and the driver hears of
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -37,10 +37,10 @@
 /// After SIGTERM new connections still come for a while; so long they are accepted.
 const STOP_ACCEPTING: Duration = Duration::from_millis(500);
 /// SIGKILL comes 0.7 s after SIGTERM and the longest deadline, which is taken as at most so long. What it finds
-/// unanswered is lost: every answer is given before, and has the rest of that time for its way to the client.
+/// unanswered is lost: every answer is given before, 0.15 s of a hold-up and its way to the client included.
 const LAST_DEADLINE: Micros = Micros(3_000_000);
-const LAST_ANSWER: Micros = Micros(600_000);
-const LAST_WRITE: Micros = Micros(100_000);
+const LAST_ANSWER: Micros = Micros(500_000);
+const LAST_WRITE: Duration = Duration::from_millis(100);
 /// With every connection taken the next look for one to end is so soon after one was told to.
 const CROWDED_PAUSE: Duration = Duration::from_millis(10);
 /// Ticks between the answer to a client and the end of its patience, for the way there and back.
@@ -111,7 +111,8 @@
                 () = &mut stop, if !self.stopping.get() => {
                     self.stopping.set(true);
                     let longest = self.settings.borrow().longest;
-                    last = self.clock.now() + longest.min(LAST_DEADLINE) + LAST_ANSWER;
+                    let told = Time(self.clock.now().0.saturating_sub(self.event_loop.unseen().0));
+                    last = told + longest.min(LAST_DEADLINE) + LAST_ANSWER;
                     let _ = self.inputs.send(Input::Stop(last));
                     end.as_mut().reset(tokio::time::Instant::now() + STOP_ACCEPTING);
                 }
@@ -127,8 +128,8 @@
         let in_time = tokio::time::timeout_at(self.clock.instant(last), self.finish(&mut queue)).await;
         if in_time.is_err() {
             self.end_those(ClientConnection::is_in_request, Ending::Reject);
-            let end = self.clock.instant(last + LAST_WRITE);
-            let _ = tokio::time::timeout_at(end, self.finish(&mut queue)).await;
+            // Counted from now: a process held up until now has not given its last answers yet.
+            let _ = tokio::time::timeout(LAST_WRITE, self.finish(&mut queue)).await;
         }
     }
 
--- a/src/net/failures.rs
+++ b/src/net/failures.rs
@@ -1,6 +1,12 @@
 //! What a failed system call says: of one connection, of the means of this machine, or of the other side.
 
 use std::io;
+use std::time::{Duration, Instant};
+
+/// Means that are short for a moment are waited for so long, and looked for this often.
+pub const MEANS_WITHIN: Duration = Duration::from_secs(2);
+/// See [`MEANS_WITHIN`].
+pub const MEANS_PAUSE: Duration = Duration::from_millis(5);
 
 /// Descriptors, memory or buffers are short; they may be there again in a moment.
 const SHORT_OF_MEANS: [i32; 7] =
@@ -21,3 +27,16 @@
 pub fn is_of_this_machine(failure: &io::Error) -> bool {
     is_short_of_means(failure) || is_one_of(failure, &NO_WAY_OUT)
 }
+
+/// Tries again for a while what fails because the means of this machine are short. Blocks its thread.
+pub fn with_means<T>(attempt: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    let end = Instant::now() + MEANS_WITHIN;
+    loop {
+        match attempt() {
+            Err(failure) if is_short_of_means(&failure) && Instant::now() < end => {
+                std::thread::sleep(MEANS_PAUSE)
+            }
+            done => return done,
+        }
+    }
+}
