--- a/tests/proxy/soak.rs
+++ b/tests/proxy/soak.rs
@@ -76,6 +76,8 @@
 struct Record {
     /// For so long after the first attempt a guarded request may be sent again.
     window: Duration,
+    /// Every backend hangs from now on.
+    all_hang: AtomicBool,
     asked: Mutex<HashMap<u64, Asked>>,
     attempts: Mutex<HashMap<u64, Vec<Attempt>>>,
     /// Since when each backend is known to drain, and until when that held.
@@ -101,6 +103,7 @@
         std::thread::sleep(Duration::from_millis(wait));
         let body = format!("{:x}", id_of(message));
         match what {
+            _ if what > 0 && record.all_hang.load(Ordering::SeqCst) => Reply::Silence,
             0 => Reply::Say("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into()),
             1 => Reply::Say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".into()),
             2 => Reply::SayAndReset(String::new()),
@@ -307,6 +310,7 @@
 
 /// Tells the proxy to end, in a trouble, and kills it as early as the platform may. Clients go on until then.
 fn end(play: &Play, dice: &mut Pcg32, longest_ms: u64) {
+    play.record.all_hang.store(one_in(dice, 2), Ordering::SeqCst);
     let began = Instant::now();
     play.proxy.terminate();
     if one_in(dice, 2) {
--- a/tests/proxy/time_left.rs
+++ b/tests/proxy/time_left.rs
@@ -48,3 +48,30 @@
         }
     }
 }
+
+/// Clients that send nothing take every place, and more of them wait than there are places: a client behind them waits
+/// too, and the time that its attempt tells is without that.
+#[test]
+fn the_time_told_leaves_out_what_the_connection_waited_to_be_accepted() {
+    let told = Arc::new(Mutex::new(None));
+    let seen = told.clone();
+    let backend = Backend::start(move |m| {
+        let left: i64 = m.header("x-time-left-ms").unwrap().parse().unwrap();
+        *seen.lock().unwrap() = Some((Instant::now(), left));
+        ok("x")
+    });
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[line("a", backend.address, "ready", 0)]);
+    config["limits"]["sockets"] = serde_json::json!(64);
+    let proxy = Proxy::start(&config);
+    for idle in [16, 40, 60] {
+        let crowd: Vec<Client> = (0..idle).map(|_| Client::open(proxy.address)).collect();
+        let (mut client, sent) = (Client::open(proxy.address), Instant::now());
+        client.send(&request("pay", 2000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200));
+        let (at, left) = told.lock().unwrap().unwrap();
+        let excess = left - (2000 - (at - sent).as_millis() as i64);
+        assert!(excess < HELD_UP.as_millis() as i64, "behind {idle} idle clients: {excess} ms too much");
+        drop(crowd);
+    }
+}
