Leave out of the time told what a client's connection waited for its place

Cause: a request's time counted from when it was read, and a connection behind a crowd of idle ones is read only once one of them has made room, 0.3 s and more later. Silent connections now make room after 0.1 s (a request follows its connection by some ms), and what a connection may have waited, up to 0.3 s, is kept back of the time that the attempts of its first request tell.

--- a/src/bin/gaugesaddle/client_connection.rs
+++ b/src/bin/gaugesaddle/client_connection.rs
@@ -2,7 +2,7 @@
 //! how it is told to end.
 
 use crate::clock::{micros, Clock};
-use beechworks::Time;
+use beechworks::{Micros, Time};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,10 +16,15 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2750);
 /// With every connection taken, one that has brought nothing for so long makes room: a client's request follows its
 /// connection by far less, while one that came for nothing would keep the next clients waiting.
-const CROWDED_SILENCE: Duration = Duration::from_millis(300);
+const CROWDED_SILENCE: Duration = Duration::from_millis(100);
 /// Likewise one in the middle of a request of which no byte came for so long.
 const CROWDED_STALL: Duration = Duration::from_millis(450);
 
+/// A first byte that is read so soon after the connection was accepted may have come before.
+const READ_AT_ONCE: Duration = Duration::from_millis(40);
+/// A connection is taken not to have waited longer than this for its place.
+const LONGEST_WAIT: Duration = Duration::from_millis(300);
+
 /// When bytes came from a client.
 pub struct Activity {
     clock: Clock,
@@ -117,6 +122,15 @@
         }
     }
 
+    /// How long the request that has begun may have waited for its connection to be accepted.
+    pub fn waited(&self) -> Micros {
+        let begun = self.activity.begun.get().unwrap_or(self.accepted);
+        if self.answered.get() || begun - self.accepted > micros(READ_AT_ONCE) {
+            return Micros(0);
+        }
+        (self.accepted - self.came).min(micros(LONGEST_WAIT))
+    }
+
     /// When it is to end unless its state changes, and how.
     pub fn due(&self) -> Option<(Time, Ending)> {
         if self.handling.get() {
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -265,7 +265,8 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             };
         }
-        let (came, unseen) = (self.clock.now(), self.event_loop.unseen());
+        let came = self.clock.now();
+        let unseen = Micros(self.event_loop.unseen().0 + client.waited().0);
         let (mut head, body) = request.into_parts();
         let mut form = match read(&self.settings.borrow(), &head, body.size_hint().exact()) {
             Ok(form) => form,
