--- a/tests/proxy/slow_clients.rs
+++ b/tests/proxy/slow_clients.rs
@@ -158,3 +158,26 @@
         assert!(proxy.exit().success());
     }
 }
+
+/// A peer that has 60 MB to send has its error within 6 s of connecting, whether it reads meanwhile or not.
+#[test]
+fn a_peer_that_sends_60_mb_has_its_end_within_6_s() {
+    let backend = Backend::start(|_| ok("x"));
+    let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
+    let much = "x".repeat(60_000_000);
+    let length = format!("Content-Length: {}", much.len());
+    let texts = [
+        request("pay", 7000).replace("Content-Length: 4", &length).replace("body", &much),
+        much.clone(),
+        format!("GET /read/{much}"),
+    ];
+    for text in texts {
+        let began = Instant::now();
+        let mut peer = Client::open(proxy.address);
+        peer.send(&text);
+        let answer = peer.answer();
+        assert!(answer.as_ref().is_none_or(|a| a.status() >= 400), "{answer:?}");
+        assert!(began.elapsed() < Duration::from_secs(6), "{:?} for {:.30}", began.elapsed(), text);
+    }
+    assert!(backend.requests().is_empty());
+}
