--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -566,6 +566,38 @@
 }
 
 /// An agent that takes calls and never answers: the proxy serves from what it knew, and asks anew.
+/// Lists may come indented, in chunks, with header names in any case and an end of their connection after them.
+#[test]
+fn a_list_is_taken_in_every_form_that_http_gives_it() {
+    let backend = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let away = line("a", refusing_address(), "draining", 0);
+    let list = |index: u64| {
+        let lines = [line("b", backend.address, "ready", 0)];
+        serde_json::to_string_pretty(&json!({"index": index, "snapshot": true, "endpoints": lines})).unwrap()
+    };
+    let forms: [fn(String) -> Reply; 4] = [
+        |text| ok(&text),
+        |text| Reply::Say(format!("HTTP/1.1 200 OK\r\ncOnTeNt-LeNgTh:{}\r\n\r\n{text}", text.len())),
+        |text| Reply::SayAndClose(format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{text}")),
+        |text| {
+            let (one, two) = text.split_at(7);
+            let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            Reply::Say(format!("{head}{}{}0\r\n\r\n", chunk(one), chunk(two)))
+        },
+    ];
+    let proxy = Proxy::spawn(&config(discovery.address, &[away]));
+    for (n, form) in forms.into_iter().enumerate() {
+        discovery.act(form(list(10 * n as u64 + 1)));
+        assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200, "form {n}: {}", proxy.log());
+        let drained = json!({"index": 10 * n + 2, "snapshot": false,
+            "endpoints": [line("b", backend.address, "draining", 0)]});
+        discovery.say(&drained.to_string());
+        assert_eq!(proxy.ready(), 503, "form {n}");
+    }
+}
+
 #[test]
 fn a_silent_agent_does_not_wedge_the_watch() {
     let backend = Backend::start(|_| ok("x"));
