Keep the comments of aperture.rs within the width that reviewers read

the_decision_module_stays_reviewable was red since the windows of very large fleets were narrowed: five comment lines of over 110 characters.

--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -11,12 +11,14 @@
 /// told nowhere. Twice the hold: what it may have in hand finds a connection that stands, and windows that
 /// have moved on leave some behind for a while.
 const REACH: f64 = 2.0 * HOLD;
-/// In a fleet of very many at least so many use one, whatever a window would need: fewer load the backends unevenly.
+/// In a fleet of very many at least so many use one, whatever a window would need: fewer load the backends
+/// unevenly.
 const LEAST_REACH: f64 = 5.0;
-/// Up to so many proxies windows are as wide as the reach: few share the limit of a cold backend in coarse parts.
+/// Up to so many proxies windows are as wide as the reach: few share the limit of a cold backend in coarse
+/// parts.
 const FEW: f64 = 100.0;
-/// Backends of a kind in a window at most, so far as that many proxies still use each: each costs a connection, and
-/// another one when it is replaced or the window moves.
+/// Backends of a kind in a window at most, so far as that many proxies still use each: each costs a
+/// connection, and another one when it is replaced or the window moves.
 const MOST: f64 = 10.0;
 /// Backends of a kind in a window at least: one may be ill and another busy.
 const LEAST: f64 = 3.0;
@@ -29,7 +31,8 @@
     ((shared(start) + shared(start - 1.0)) / (arc.1 - arc.0).max(1e-12)).min(1.0)
 }
 
-/// What all windows together have of an arc: the sum of its parts that lie in them, and in how many some part does.
+/// What all windows together have of an arc: the sum of its parts that lie in them, and in how many some part
+/// does.
 fn coverage(arc: (f64, f64), width: f64, proxies: u32) -> (f64, f64) {
     let starts = (0..proxies).map(window_start);
     let parts = starts.map(|start| overlap(arc, start, width)).filter(|part| *part > 0.0);
@@ -67,7 +70,7 @@
                 p.slice = if width < 1.0 { overlap((at, end), start, width) } else { 1.0 };
                 (p.covered, p.users) = (width * proxies, width * proxies);
                 if reach < REACH && p.slice > 0.0 && *arc < 1.0 {
-                    // Few windows lie evenly only on the whole, and the sum holds a cold backend to its limit.
+                    // Few windows lie evenly only on the whole, and the sum holds a cold one to its limit.
                     let (covered, users) = coverage((at, end), width, cfg.proxies);
                     (p.covered, p.users) = (p.covered.max(covered), p.users.max(users));
                 }
