--- a/tests/proxy/slow_clients.rs
+++ b/tests/proxy/slow_clients.rs
@@ -13,6 +13,16 @@
     std::thread::sleep(Duration::from_millis(ms));
 }
 
+/// A client's connection, new or with one request on it answered.
+fn open(proxy: &Proxy, served_before: bool) -> Client {
+    let mut client = Client::open(proxy.address);
+    if served_before {
+        client.send(&request("read", 7000));
+        assert_eq!(client.answer().map(|a| a.status()), Some(200));
+    }
+    client
+}
+
 /// Sends the text in two parts with a rest between them.
 fn send_slowly(client: &mut Client, text: &str, first: usize, rest_ms: u64) {
     client.send(&text[..first]);
@@ -43,11 +53,7 @@
     let play = |(served_before, rest_ms): (bool, u64)| {
         let backend = Backend::start(|_| ok("x"));
         let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
-        let mut client = Client::open(proxy.address);
-        if served_before {
-            client.send(&request("read", 7000));
-            assert_eq!(client.answer().map(|a| a.status()), Some(200));
-        }
+        let mut client = open(&proxy, served_before);
         sleep_ms(rest_ms);
         send_slowly(&mut client, &request("pay", 7000), 30, 350);
         client.answer().map(|a| a.status())
@@ -65,11 +71,7 @@
     let play = |(served_before, body_ms): (bool, u64)| {
         let backend = Backend::start(|_| ok("x"));
         let (proxy, _discovery) = proxy_for(&[("a", &backend)]);
-        let mut client = Client::open(proxy.address);
-        if served_before {
-            client.send(&request("read", 7000));
-            assert_eq!(client.answer().map(|a| a.status()), Some(200));
-        }
+        let mut client = open(&proxy, served_before);
         let text = request("pay", 1800);
         send_slowly(&mut client, &text, text.len() - 2, body_ms);
         client.answer().map(|a| a.status())
@@ -95,10 +97,8 @@
 /// How long after it connected, or after it began where it was served before, a stalling peer had its end.
 fn ended_after((text, served_before): Stalling, proxy: &Proxy) -> Duration {
     let mut began = Instant::now();
-    let mut peer = Client::open(proxy.address);
+    let mut peer = open(proxy, served_before);
     if served_before {
-        peer.send(&request("read", 7000));
-        assert_eq!(peer.answer().map(|a| a.status()), Some(200));
         sleep_ms(1500);
         began = Instant::now();
     }
