--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -773,6 +773,29 @@
     assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
 }
 
+/// All places for connections to backends are taken by idle ones: each of several requests that come at once, for
+/// backends with none, has one of those give way, and waits for nothing.
+#[test]
+fn with_its_sockets_taken_by_idle_connections_requests_that_come_at_once_find_places() {
+    let backends: Vec<Backend> = (0..30).map(|_| Backend::start(|_| ok("x"))).collect();
+    let name = |n: usize| format!("s{n}");
+    let lines: Vec<Value> =
+        backends.iter().enumerate().map(|(n, b)| line(&name(n), b.address, "ready", 0)).collect();
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &lines);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    for round in 0..3 {
+        (0..60).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+        let mut clients: Vec<Client> = (0..8).map(|_| Client::open(proxy.address)).collect();
+        let began = Instant::now();
+        clients.iter_mut().for_each(|c| c.send(&request("pay", 7000)));
+        clients.iter_mut().for_each(|c| assert_eq!(c.answer().map(|a| a.status()), Some(200)));
+        // The time for a connection is two seconds here.
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?} in round {round}", began.elapsed());
+    }
+}
+
 /// Peers that never send a whole request give their descriptors back long before they would by themselves.
 #[test]
 fn silent_and_stalling_peers_are_let_go_and_keep_nobody_out() {
