--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -506,12 +506,6 @@
             self.events.push(logged(&r.call, end));
             return;
         };
-        if self.pool.is_full() {
-            // An idle connection to any backend gives way.
-            if let Some(u) = self.backends.values().find(|u| u.give_way()) {
-                tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
-            }
-        }
         tracing::debug!(
             "request {} ({}) attempt {} goes to backend {} at {}",
             request.0,
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -11,11 +11,12 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Poll;
 use tokio::sync::Notify;
 
@@ -97,17 +98,20 @@
     /// New requests may go to it; asked again before the first byte of each.
     pub open: Cell<bool>,
     idle: RefCell<Vec<(Time, Link)>>,
+    /// It stands among those that the pool asks to give way.
+    listed_as_idle: Cell<bool>,
 }
 
 impl Upstream {
     pub fn new(target: Target) -> Upstream {
         let open = Cell::new(target.backend.state == BackendState::Ready);
-        Upstream { target, open, idle: RefCell::default() }
+        Upstream { target, open, idle: RefCell::default(), listed_as_idle: Cell::default() }
     }
 
-    /// Closes an idle connection, if there is one.
-    pub fn give_way(&self) -> bool {
-        self.idle.borrow_mut().pop().is_some()
+    /// Closes an idle connection, if there is one, and tells whether others are left.
+    fn give_way(&self) -> (bool, bool) {
+        let mut idle = self.idle.borrow_mut();
+        (idle.pop().is_some(), !idle.is_empty())
     }
 
     /// Takes out the idle connection that was used last of those that have settled, else the one next to settle.
@@ -210,13 +214,16 @@
     idle_limit: Cell<Micros>,
     sockets: Rc<Cell<usize>>,
     most: usize,
+    /// Those that may have idle connections, each once.
+    with_idle: RefCell<VecDeque<Weak<Upstream>>>,
 }
 
 impl Pool {
     /// `most`: sockets that it may hold, idle ones included.
     pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, most: usize) -> Pool {
         let (dial, idle, sockets) = (Cell::default(), Cell::default(), Rc::default());
-        let pool = Pool { clock, dial_timeout: dial, idle_limit: idle, sockets, most };
+        let with_idle = RefCell::default();
+        let pool = Pool { clock, dial_timeout: dial, idle_limit: idle, sockets, most, with_idle };
         pool.set_times(dial_timeout, conn_idle);
         pool
     }
@@ -228,20 +235,46 @@
     }
 
     /// Closes the connections that have stood idle for too long, or that the other side has closed.
-    pub async fn sweep(&self, upstream: &Upstream) {
+    pub async fn sweep(&self, upstream: &Rc<Upstream>) {
         let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
         let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.get().0));
         kept.retain(|(since, _)| *since > oldest);
         for (since, mut link) in kept {
             if link.alive().await && upstream.open.get() {
-                upstream.idle.borrow_mut().push((since, link));
+                self.keep(upstream, since, link);
             }
         }
     }
 
-    /// All sockets are taken: an idle one has to go before another is opened.
-    pub fn is_full(&self) -> bool {
-        self.sockets.get() >= self.most
+    /// Keeps a connection that has done its work.
+    fn keep(&self, upstream: &Rc<Upstream>, since: Time, link: Link) {
+        upstream.idle.borrow_mut().push((since, link));
+        if upstream.listed_as_idle.replace(true) {
+            return;
+        }
+        let mut with_idle = self.with_idle.borrow_mut();
+        if with_idle.len() > 2 * self.most {
+            with_idle.retain(|upstream| upstream.strong_count() > 0); // backends that were replaced
+        }
+        with_idle.push_back(Rc::downgrade(upstream));
+    }
+
+    /// Closes an idle connection to any backend; false where there is none.
+    fn make_place(&self) -> bool {
+        let mut with_idle = self.with_idle.borrow_mut();
+        while let Some(upstream) = with_idle.pop_front() {
+            let Some(held) = upstream.upgrade() else { continue };
+            let (closed, others) = held.give_way();
+            held.listed_as_idle.set(others);
+            if others {
+                with_idle.push_back(upstream);
+            }
+            if closed {
+                tracing::debug!("sockets are short: closed a connection to {}", held.target.address);
+                return true;
+            }
+        }
+        false
     }
 
     /// A pooled connection that has settled and that the backend has not closed. A new one would take no less time
@@ -256,9 +289,9 @@
         }
     }
 
-    /// One of the sockets that backends may take, if there is any left.
+    /// One of the sockets that backends may take, if there is any left or an idle one can go.
     fn reserve(&self) -> Option<Slot> {
-        if self.is_full() {
+        if self.sockets.get() >= self.most && !self.make_place() {
             return None;
         }
         self.sockets.set(self.sockets.get() + 1);
@@ -298,7 +331,7 @@
 
     /// One attempt, never sent unless it is written whole `by` then and while the request still wants an answer.
     /// It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, by: Time, deadline: Time) -> Ended {
+    pub async fn attempt(&self, upstream: &Rc<Upstream>, call: &Call, by: Time, deadline: Time) -> Ended {
         let mut lapsed = std::pin::pin!(self.lapse(call, by));
         loop {
             let reached = tokio::select! {
@@ -333,7 +366,7 @@
             return match answered {
                 Ok(ended) => {
                     if link.alive().await && upstream.open.get() {
-                        upstream.idle.borrow_mut().push((self.clock.now(), link));
+                        self.keep(upstream, self.clock.now(), link);
                     }
                     ended
                 }
