--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -4,6 +4,7 @@
 
 mod backend;
 mod http;
+mod pipeline;
 mod platform;
 mod second_answer;
 
@@ -29,6 +30,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     match case.as_str() {
         "second-answer" => second_answer::run(&record, trouble),
+        "pipeline-late" => pipeline::run_late(&record, trouble),
+        "pipeline-long" => pipeline::run_long(&record, trouble),
+        "pipeline-term" => pipeline::run_term(&record, trouble),
         _ => Err("unknown case".into()),
     }
 }
