Review, case 3: behind stalled clients, requests get no answer in their time

256 clients stop in the middle of a head at a proxy with 256 descriptors. Requests on new connections wait 0.9 s to be accepted, and the wait is not deducted from their deadline: 20 of 20 with 200 ms left have no answer 0.55 s after their time.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run-case.sh" 3 crowd
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,6 +3,7 @@
 //! in the environment a case leaves the disruption out.
 
 mod backend;
+mod crowd;
 mod http;
 mod pipeline;
 mod platform;
@@ -33,6 +34,7 @@
         "pipeline-late" => pipeline::run_late(&record, trouble),
         "pipeline-long" => pipeline::run_long(&record, trouble),
         "pipeline-term" => pipeline::run_term(&record, trouble),
+        "crowd" => crowd::run(&record, trouble),
         _ => Err("unknown case".into()),
     }
 }
