Log how long a client connection may have waited in the listen queue

The debug log now has an event for each accepted connection, with the number of open ones and the longest time that it may have been queued, and request received has that time too.

With 256 clients that stay after half a head, at 256 descriptors, it shows that 112 connections are accepted at once, the next 112 only after 0.55 s (0.45 s until the 408, 0.1 s until the close), and those of the good clients behind them not within the 0.7 s for which they wait.

--- a/src/bin/load-balancer-proxy/server/connection_task.rs
+++ b/src/bin/load-balancer-proxy/server/connection_task.rs
@@ -4,6 +4,7 @@
 use super::client_socket::{ClientSocket, LastResponse};
 use super::listener::Accepted;
 use super::Server;
+use crate::clock::micros;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
@@ -65,9 +66,12 @@
     pub(super) fn spawn_connection(self: Rc<Self>, accepted: Accepted) {
         let Accepted { stream, queued_since } = accepted;
         let _ = stream.set_nodelay(true);
-        let client = Rc::new(ClientConnection::new(self.clock, queued_since.elapsed()));
+        let queue_time = queued_since.elapsed();
+        let client = Rc::new(ClientConnection::new(self.clock, queue_time));
         let id = self.next_id();
         self.connections.borrow_mut().insert(id, client.clone());
+        let open = self.connections.borrow().len();
+        tracing::debug!(open, queue_time_us = micros(queue_time).0, "client connection accepted");
         tokio::task::spawn_local(async move {
             let _slot = ConnectionSlot { id, server: &self };
             self.serve_connection(stream, &client).await;
--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -106,6 +106,7 @@
             request = id.0,
             correlation_id = %upstream_request.correlation_id(),
             time_left_us = parsed.time_left.0,
+            queue_time_us = client.accept_delay().0,
             "request received"
         );
         let (sender, response) = oneshot::channel();
