Accept client connections at once, and close inactive ones to free slots

Cause: at capacity no connection was accepted until one of the open ones had closed, and an incomplete request was given 0.45 s, its 408 another 0.1 s to be read. Requests further back waited one such round for each 112 connections before them, in the listen queue, where nothing can answer them. The log of accepts showed it: 112 at once, the next 112 after 0.55 s. Reading, the dispatcher and the backends were ruled out: none of the requests had been accepted. Clients that all have a pending request at a backend that hangs have the same effect.

Change: connections are accepted while any slot is free, and as many inactive ones are closed as spare slots are in use: those that only wait for their client's close, then idle, silent and incomplete ones, the longest inactive first, each 25 ms after its accept or last input at the earliest. An eighth of the slots, at most eight, are spare and never hold a pending request (503 instead), so that one of them can always be closed. A proxy whose slots are not needed keeps slow clients longer than before.

--- a/src/bin/load-balancer-proxy/server/capacity.rs
+++ b/src/bin/load-balancer-proxy/server/capacity.rs
@@ -1,55 +1,112 @@
-//! Limits the number of open client connections: at capacity, inactive connections are closed to make room
-//! for new clients.
+//! Limits the number of open client connections.
+//!
+//! The time of a request runs out while its connection waits in the listen queue, where nothing can answer it.
+//! Connections are therefore accepted at once, and when few slots are left, inactive connections are closed to
+//! free theirs. The last slots, the spare ones, never hold a pending request, so that there is always a connection
+//! that can be closed soon.
 
-use super::client_connection::CloseMode;
+use super::client_connection::ClientConnection;
+use super::inactivity::InactiveConnection;
 use super::Server;
-use crate::clock::micros;
-use load_balancer::Time;
-use std::time::Duration;
+use load_balancer::{Micros, Time};
+use std::rc::Rc;
 
-/// Minimum time between two checks at capacity, so that a connection that was asked to close can do so.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// One in this many slots is a spare slot.
+const SLOTS_PER_SPARE_SLOT: usize = 8;
+const MAX_SPARE_SLOTS: usize = 8;
+/// `Retry-After` of a request that is rejected because all regular slots have pending requests.
+pub(super) const RETRY_AFTER: Micros = Micros(1_000_000);
+
+/// The number of client connections that may be open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Capacity {
+    /// All slots: the maximum number of open connections.
+    slots: usize,
+    /// Slots that may hold a connection with a pending request.
+    regular_slots: usize,
+}
+
+impl Capacity {
+    /// Creates the limits for at most `max_connections` open connections.
+    pub fn new(max_connections: usize) -> Capacity {
+        let spare_slots = (max_connections / SLOTS_PER_SPARE_SLOT).clamp(1, MAX_SPARE_SLOTS);
+        Capacity { slots: max_connections, regular_slots: max_connections.saturating_sub(spare_slots) }
+    }
+}
 
 impl Server {
-    /// Whether the maximum number of client connections is open.
+    /// Whether another client connection may be accepted.
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.connections.borrow().len() < self.capacity.slots
+    }
+
+    /// Whether spare slots are in use, so that inactive connections have to be closed.
     pub(super) fn is_at_capacity(&self) -> bool {
-        self.connections.borrow().len() >= self.max_connections
+        self.open_in_spare_slots() > 0
     }
 
-    /// At capacity, asks the connection that has been idle longest to close or, if none is idle, those that
-    /// have been inactive for too long. Returns when to check again; [`Time::NEVER`] below capacity.
+    /// Whether one more pending request would leave no spare slot for connections without one.
+    pub(super) fn has_max_pending_requests(&self) -> bool {
+        let connections = self.connections.borrow();
+        let is_pending = |connection: &&_| ClientConnection::is_awaiting_response(connection);
+        self.is_at_capacity()
+            && connections.values().map(AsRef::as_ref).filter(is_pending).count()
+                >= self.capacity.regular_slots
+    }
+
+    /// Asks as many inactive connections to close as spare slots are in use. Returns when to check again;
+    /// [`Time::NEVER`] if no spare slot is in use.
     pub(super) fn reclaim_capacity(&self) -> Time {
-        if !self.is_at_capacity() {
+        let in_spare_slots = self.open_in_spare_slots();
+        if in_spare_slots == 0 {
             return Time::NEVER;
         }
-        let earliest_check = self.clock.now() + micros(MIN_CHECK_INTERVAL);
-        if self.close_longest_idle() {
-            return earliest_check;
+        let now = self.clock.now();
+        let (closing, next_closed) = self.closing_connections(now);
+        let needed = in_spare_slots.saturating_sub(closing);
+        if needed == 0 {
+            return next_closed;
+        }
+        let (mut closable, next_closable) = self.closable_connections(now);
+        if needed < closable.len() {
+            closable.select_nth_unstable_by_key(needed, |(inactive, _)| inactive.close_order());
+            closable.truncate(needed);
         }
-        self.close_inactive().max(earliest_check)
+        let mut next_check = next_closed.min(next_closable);
+        for (InactiveConnection { state, .. }, connection) in closable {
+            tracing::debug!(?state, "client connection closed to free its slot");
+            next_check = next_check.min(connection.free_slot(state));
+        }
+        next_check
     }
 
-    /// Asks the connection that has been idle longest to close; returns `false` if none is idle.
-    fn close_longest_idle(&self) -> bool {
+    /// Returns how many connections are about to be closed, and when the next of them is expected to be.
+    fn closing_connections(&self, now: Time) -> (usize, Time) {
         let connections = self.connections.borrow();
-        let open = connections.values().filter(|connection| connection.close_mode().is_none());
-        let idle = open.filter_map(|connection| Some((connection.idle_since()?, connection)));
-        let Some((_, longest_idle)) = idle.min_by_key(|(since, _)| *since) else { return false };
-        longest_idle.request_close(CloseMode::Graceful);
-        true
+        let closing = connections.values().map(|connection| connection.closing_until());
+        closing
+            .filter(|until| *until > now)
+            .fold((0, Time::NEVER), |(count, next), until| (count + 1, next.min(until)))
     }
 
-    /// Asks the connections that have been inactive for too long to close; returns the next time at which
-    /// this applies to another one.
-    fn close_inactive(&self) -> Time {
+    /// Returns the connections that can be closed now, and when the next other one can be.
+    fn closable_connections(&self, now: Time) -> (Vec<(InactiveConnection, Rc<ClientConnection>)>, Time) {
+        let mut closable = Vec::new();
         let mut next = Time::NEVER;
         for connection in self.connections.borrow().values() {
-            match connection.close_deadline_at_capacity() {
-                Some(deadline) if deadline.at <= self.clock.now() => connection.request_close(deadline.mode),
-                Some(deadline) => next = next.min(deadline.at),
+            match connection.inactivity().filter(|_| connection.closing_until() <= now) {
+                Some(inactive) if inactive.closable_at <= now => {
+                    closable.push((inactive, connection.clone()));
+                }
+                Some(inactive) => next = next.min(inactive.closable_at),
                 None => {}
             }
         }
-        next
+        (closable, next)
+    }
+
+    /// Number of open connections beyond the regular slots.
+    fn open_in_spare_slots(&self) -> usize {
+        self.connections.borrow().len().saturating_sub(self.capacity.regular_slots)
     }
 }
--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -7,6 +7,8 @@
 //! | receiving its body | the head was read | yes | no |
 //! | awaiting its response | the request was read completely | yes | yes |
 
+use super::client_socket::LastResponse;
+use super::inactivity::{InactiveConnection, Inactivity};
 use crate::clock::{micros, Clock};
 use load_balancer::{Micros, Time};
 use std::cell::Cell;
@@ -23,14 +25,14 @@
 /// that never completes a request must get an error within 3 s; the difference allows for a stall of the
 /// process.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2750);
-/// At capacity, a connection without any input is closed after this time. Clients usually send their request
-/// much earlier. Also the minimum time from the accept to the close for idleness, however long the connection
-/// was queued.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
-/// At capacity, an incomplete request is answered with 408 after this time without further input. Also the
-/// minimum time from the accept to the read deadline of the first request, however long the connection was
+/// Minimum time from the accept to the close for idleness, however long the connection was queued.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
+/// Minimum time from the accept to the read deadline of the first request, however long the connection was
 /// queued.
-const STALLED_REQUEST_TIMEOUT: Duration = Duration::from_millis(450);
+const MIN_READ_TIME: Duration = Duration::from_millis(450);
+/// At capacity, a connection is kept for this time after the accept, its last input or its last response.
+/// Input or a close that is on its way arrives within it.
+const ARRIVAL_ALLOWANCE: Duration = Duration::from_millis(25);
 
 /// A first byte read within this time after the accept may have arrived before the accept.
 const MAX_QUEUED_READ_DELAY: Duration = Duration::from_millis(40);
@@ -97,6 +99,10 @@
     is_awaiting_response: Cell<bool>,
     /// How the connection was asked to close; `None` if it was not.
     close_mode: Cell<Option<CloseMode>>,
+    /// Time until which the connection is expected to be closed; zero if it was not asked to and has not ended.
+    closing_until: Cell<Time>,
+    /// When the last response was sent; `None` before.
+    ended_at: Cell<Option<Time>>,
     /// Wakes the connection's task when the connection is asked to close.
     pub close_requested: Notify,
     /// Wakes the request handler that reads a body when the request has to be answered with 408.
@@ -104,6 +110,8 @@
     /// Wakes the connection's task when the connection becomes idle, so that it computes the close deadline
     /// again.
     pub became_idle: Notify,
+    /// Wakes the connection's task when it must no longer wait for the client's close.
+    pub linger_cut_short: Notify,
 }
 
 impl ClientConnection {
@@ -120,9 +128,12 @@
             is_handling_request: Cell::default(),
             is_awaiting_response: Cell::default(),
             close_mode: Cell::default(),
+            closing_until: Cell::default(),
+            ended_at: Cell::default(),
             close_requested: Notify::new(),
             request_timed_out: Notify::new(),
             became_idle: Notify::new(),
+            linger_cut_short: Notify::new(),
         }
     }
 
@@ -157,7 +168,7 @@
             let first_byte_at = self.read_times.first_byte_at.get().unwrap_or(self.clock.now());
             return first_byte_at + micros(REQUEST_TIMEOUT);
         }
-        let earliest = self.accepted_at + micros(STALLED_REQUEST_TIMEOUT);
+        let earliest = self.accepted_at + micros(MIN_READ_TIME);
         earliest.max(self.opened_at + micros(REQUEST_TIMEOUT))
     }
 
@@ -187,23 +198,57 @@
         Some(CloseDeadline { at: self.idle_deadline(), mode: CloseMode::Graceful })
     }
 
-    /// Returns when and how the connection is closed for inactivity while the server is at capacity. `None`
-    /// if it was asked to close or awaits a response. Also `None` if it is idle between requests: such
-    /// connections are closed first, without a deadline.
-    pub fn close_deadline_at_capacity(&self) -> Option<CloseDeadline> {
-        if self.close_mode.get().is_some() || self.is_awaiting_response.get() || self.idle_since().is_some() {
+    /// Returns whether and when the connection can be closed to free its slot. `None` while it awaits a response
+    /// and once it was asked to close, unless it has ended or its client has begun another request.
+    pub fn inactivity(&self) -> Option<InactiveConnection> {
+        let inactive = |state, since| Some(InactiveConnection { state, since, closable_at: since });
+        let inactive_after_allowance = |state, since| {
+            let closable_at = since + micros(ARRIVAL_ALLOWANCE);
+            Some(InactiveConnection { state, since, closable_at })
+        };
+        if let Some(ended_at) = self.ended_at.get() {
+            return inactive(Inactivity::Ended, ended_at);
+        }
+        if self.is_receiving_request() {
+            let last_byte_at = self.read_times.last_byte_at.get().unwrap_or(self.accepted_at);
+            let is_timed_out = self.close_mode.get() == Some(CloseMode::TimeOutRequest);
+            return inactive_after_allowance(Inactivity::Incomplete, last_byte_at).filter(|_| !is_timed_out);
+        }
+        if self.is_awaiting_response.get() || self.close_mode.get().is_some() {
             return None;
         }
-        Some(match self.read_times.last_byte_at.get() {
-            None => {
-                let at = self.accepted_at + micros(SILENCE_TIMEOUT);
-                CloseDeadline { at, mode: CloseMode::Graceful }
-            }
-            Some(last_byte_at) => {
-                let at = last_byte_at + micros(STALLED_REQUEST_TIMEOUT);
-                CloseDeadline { at, mode: CloseMode::TimeOutRequest }
-            }
-        })
+        match self.idle_since() {
+            Some(idle_since) => inactive(Inactivity::Idle, idle_since),
+            None => inactive_after_allowance(Inactivity::Silent, self.accepted_at),
+        }
+    }
+
+    /// Asks the connection, which is inactive in this state, to close because its slot is needed. Returns the
+    /// time until which it is expected to be closed.
+    pub fn free_slot(&self, state: Inactivity) -> Time {
+        match state.close_mode() {
+            Some(mode) => self.request_close(mode),
+            None => self.linger_cut_short.notify_one(),
+        }
+        self.closing_until.set(self.clock.now() + micros(ARRIVAL_ALLOWANCE));
+        self.closing_until()
+    }
+
+    /// Returns the time until which the connection, which was asked to close or has ended, is expected to be
+    /// closed. Zero if it is neither.
+    pub fn closing_until(&self) -> Time {
+        self.closing_until.get()
+    }
+
+    /// Records that the last response was sent. The connection then waits for the client's close, except that a
+    /// client that was sent a 408 is not expected to react.
+    pub fn end(&self, last_response: LastResponse) {
+        let now = self.clock.now();
+        self.ended_at.set(Some(now));
+        self.closing_until.set(match last_response {
+            LastResponse::Regular => now + micros(ARRIVAL_ALLOWANCE),
+            LastResponse::Timeout => now,
+        });
     }
 
     /// Asks the connection to close if its [`close_deadline`](Self::close_deadline) has passed; returns
@@ -221,7 +266,9 @@
 
     /// Asks the connection to close.
     pub fn request_close(&self, mode: CloseMode) {
-        self.close_mode.set(Some(mode));
+        if self.close_mode.replace(Some(mode)) != Some(mode) {
+            self.closing_until.set(self.clock.now() + micros(ARRIVAL_ALLOWANCE));
+        }
         self.close_requested.notify_one();
         if mode == CloseMode::TimeOutRequest {
             self.request_timed_out.notify_one();
@@ -259,7 +306,7 @@
         match self.last_response_at.get() {
             Some(last_response_at) => last_response_at + micros(CLIENT_IDLE_TIMEOUT),
             None => {
-                let earliest = self.accepted_at + micros(SILENCE_TIMEOUT);
+                let earliest = self.accepted_at + micros(MIN_IDLE_TIME);
                 earliest.max(self.opened_at + micros(CLIENT_IDLE_TIMEOUT))
             }
         }
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -78,12 +78,11 @@
         })))
     }
 
-    /// Answers a request whose head is incomplete with 408 and ends the connection.
+    /// Answers a request whose head is incomplete with 408.
     pub async fn send_timeout_response(&self) {
         let written = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().io).poll_write(cx, TIMEOUT_RESPONSE));
         let _ = tokio::time::timeout(STALLED_PEER_CLOSE_TIMEOUT, written).await;
         self.0.borrow_mut().has_written = true;
-        self.lingering_close(LastResponse::Timeout).await;
     }
 
     /// Ends the connection after its last response: shuts down the sending side and reads up to the end of
--- a/src/bin/load-balancer-proxy/server/connection_task.rs
+++ b/src/bin/load-balancer-proxy/server/connection_task.rs
@@ -23,7 +23,7 @@
 impl Drop for ConnectionSlot<'_> {
     fn drop(&mut self) {
         self.server.connections.borrow_mut().remove(&self.id);
-        self.server.connection_closed.notify_one();
+        self.server.connections_changed.notify_one();
     }
 }
 
@@ -101,7 +101,7 @@
                     if let Err(error) = result {
                         tracing::debug!(%error, "client connection failed");
                     }
-                    return socket.lingering_close(last_response(client)).await;
+                    return self.linger(&socket, client, last_response(client)).await;
                 }
                 () = &mut disconnected => return, // drops the handler, which notifies the dispatcher
                 () = client.close_requested.notified() => {}
@@ -115,9 +115,25 @@
             match CloseStep::of(client) {
                 CloseStep::Wait => {}
                 CloseStep::CloseAfterRequest => connection.as_mut().graceful_shutdown(),
-                CloseStep::TimeOutRequest => return socket.send_timeout_response().await,
+                CloseStep::TimeOutRequest => {
+                    socket.send_timeout_response().await;
+                    return self.linger(&socket, client, LastResponse::Timeout).await;
+                }
                 CloseStep::Drop => return,
             }
         }
     }
+
+    /// Waits for the client to close the connection after its last response, unless its slot is needed.
+    async fn linger(&self, socket: &ClientSocket, client: &ClientConnection, last_response: LastResponse) {
+        client.end(last_response);
+        if self.is_at_capacity() {
+            self.connections_changed.notify_one();
+        }
+        tokio::select! {
+            biased;
+            () = socket.lingering_close(last_response) => {}
+            () = client.linger_cut_short.notified() => {}
+        }
+    }
 }
--- a/src/bin/load-balancer-proxy/server/graceful_shutdown.rs
+++ b/src/bin/load-balancer-proxy/server/graceful_shutdown.rs
@@ -65,7 +65,7 @@
                     Some(accepted) => self.clone().spawn_connection(accepted),
                     None => *queue = None,
                 },
-                () = self.connection_closed.notified() => {}
+                () = self.connections_changed.notified() => {}
             }
         }
     }
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! | concern | module |
 //! | --- | --- |
-//! | accepting, and limits on open connections | `listener`, `capacity` |
+//! | accepting, and limits on open connections | `listener`, `capacity`, `inactivity` |
 //! | one connection | `connection_task`, `client_connection`, `client_socket` |
 //! | one request | `request_handler`, `request_parsing`, `request_error`, `disconnect_guard`, `responses` |
 //! | readiness probe | `readiness` |
@@ -15,6 +15,7 @@
 mod connection_task;
 mod disconnect_guard;
 mod graceful_shutdown;
+mod inactivity;
 mod listener;
 mod readiness;
 mod request_error;
@@ -26,6 +27,7 @@
 use crate::config::Settings;
 use crate::messages::{DispatcherMessage, ServingStatus};
 use crate::stall_detector::StallDetector;
+use capacity::Capacity;
 use client_connection::ClientConnection;
 use listener::Acceptor;
 use load_balancer::Time;
@@ -57,16 +59,15 @@
     /// A reload replaces the settings and notifies the dispatcher without an await point in between. No
     /// borrow is held across an await point.
     settings: RefCell<Arc<Settings>>,
-    /// Number of client connections that may be open at once.
-    max_connections: usize,
+    capacity: Capacity,
     dispatcher: mpsc::UnboundedSender<DispatcherMessage>,
     status: Rc<ServingStatus>,
     /// Id that was assigned last, to a connection or a request.
     last_id: Cell<u64>,
     is_shutting_down: Cell<bool>,
     connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
-    /// Notified when the task of a client connection has ended.
-    connection_closed: Notify,
+    /// Notified when the task of a client connection has ended, or at capacity only waits for the client's close.
+    connections_changed: Notify,
 }
 
 impl Server {
@@ -77,13 +78,13 @@
             clock,
             stall_detector,
             settings: RefCell::new(settings),
-            max_connections,
+            capacity: Capacity::new(max_connections),
             dispatcher,
             status,
             last_id: Cell::new(0),
             is_shutting_down: Cell::new(false),
             connections: RefCell::default(),
-            connection_closed: Notify::new(),
+            connections_changed: Notify::new(),
         }
     }
 
@@ -122,8 +123,8 @@
         let mut deadline = Time::NEVER;
         loop {
             let next_capacity_check = self.reclaim_capacity();
-            let at_capacity = self.is_at_capacity();
-            if at_capacity {
+            let has_free_slot = self.has_free_slot();
+            if !has_free_slot {
                 acceptor.mark_connections_waiting();
             }
             tokio::select! {
@@ -133,9 +134,9 @@
                     accept_deadline.as_mut().reset(graceful_shutdown::accept_deadline());
                 }
                 () = &mut accept_deadline, if self.is_shutting_down.get() => return deadline,
-                () = self.connection_closed.notified() => {}
+                () = self.connections_changed.notified() => {}
                 () = tokio::time::sleep_until(self.clock.instant(next_capacity_check)) => {}
-                accepted = acceptor.accept(), if !at_capacity => self.clone().spawn_connection(accepted),
+                accepted = acceptor.accept(), if has_free_slot => self.clone().spawn_connection(accepted),
             }
         }
     }
--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -1,6 +1,7 @@
 //! Handles one request: answers readiness probes, parses the head, reads the body, sends the request to the
 //! dispatcher and returns the response.
 
+use super::capacity;
 use super::client_connection::ClientConnection;
 use super::disconnect_guard::{DisconnectGuard, RequestOutcome};
 use super::readiness::is_readiness_probe;
@@ -109,6 +110,9 @@
             queue_time_us = client.accept_delay().0,
             "request received"
         );
+        if self.has_max_pending_requests() {
+            return complete(guard, FinalResponse::Rejected { retry_after: capacity::RETRY_AFTER });
+        }
         let (sender, response) = oneshot::channel();
         self.notify_dispatcher(DispatcherMessage::RequestReceived(ReceivedRequest {
             id,
--- a/tests/proxy/idle_clients.rs
+++ b/tests/proxy/idle_clients.rs
@@ -1,46 +1,12 @@
 //! Idle clients that occupy every connection slot while new ones keep connecting.
 
 use crate::support::{
-    config, endpoint, ok_response, refusing_address, request, send_request, wait_until, Backend, Client,
-    Discovery, ProxyProcess, ReservedPort,
+    config, endpoint, ok_response, refusing_address, request, send_request, wait_until, Backend,
+    ConnectingClients, Discovery, ProxyProcess, ReservedPort,
 };
 use serde_json::json;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Clients that keep connecting, send nothing and stay until the proxy closes their connections.
-struct IdleClients {
-    stop: Arc<AtomicBool>,
-    connecting: Option<std::thread::JoinHandle<()>>,
-}
-
-impl IdleClients {
-    /// Starts opening `clients_per_second` connections a second.
-    fn start(address: SocketAddr, clients_per_second: u32) -> IdleClients {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stop_requested = stop.clone();
-        let connecting = std::thread::spawn(move || {
-            let mut clients = Vec::new();
-            while !stop_requested.load(Ordering::SeqCst) {
-                clients.extend(Client::try_open(address));
-                std::thread::sleep(Duration::from_secs(1) / clients_per_second);
-            }
-        });
-        IdleClients { stop, connecting: Some(connecting) }
-    }
-}
-
-impl Drop for IdleClients {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::SeqCst);
-        if let Some(connecting) = self.connecting.take() {
-            let _ = connecting.join();
-        }
-    }
-}
-
 /// Guards against idle clients that block calls to discovery, connections to backends, or requests.
 #[test]
 fn many_idle_clients_do_not_block_list_updates_backends_or_requests() {
@@ -50,7 +16,7 @@
     let mut config = config(reserved_port.address, &[endpoint("a", address, "ready", 0)]);
     config["limits"]["sockets"] = json!(64);
     let proxy = ProxyProcess::start(&config);
-    let _idle_clients = IdleClients::start(proxy.address, 25);
+    let _idle_clients = ConnectingClients::start(proxy.address, Duration::from_secs(1) / 25, usize::MAX);
     wait_until("a failed call to discovery while the proxy is ready", || {
         proxy.readiness_status() == 200 && proxy.log().contains("discovery call failed ")
     });
--- /dev/null
+++ b/tests/proxy/listen_queue.rs
@@ -0,0 +1,159 @@
+//! Requests on new connections while other clients hold every connection slot. Their time runs from when they
+//! are sent, not from when the proxy accepts their connection.
+
+use crate::support::{
+    config, ok_response, ready_endpoints, request, Backend, Client, ConnectingClients, Discovery, Message,
+    ProxyProcess, Reply,
+};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// File descriptors of the proxy, and number of other clients, who would use all of them.
+const DESCRIPTORS: usize = 256;
+const REQUESTS: usize = 20;
+const BACKENDS: usize = 9;
+/// Time after its deadline by which a request must have its response.
+const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(500);
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Number of connections that clients who keep connecting have open at once.
+const MAX_CONNECTING_CLIENTS: usize = 300;
+
+const PARTIAL_HEAD: &str = "GET /read HTTP/1.1\r\nHost: back";
+const PARTIAL_BODY: &str = concat!(
+    "POST /pay/a HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n",
+    "X-Time-Left-Ms: 60000\r\nContent-Length: 4\r\n\r\nbo"
+);
+
+/// The response to a request, if any, and how long it took.
+#[derive(Debug)]
+struct Answer {
+    status: Option<u16>,
+    after: Duration,
+}
+
+/// Sends the requests at the same time, each on a new connection, and returns their answers.
+fn send_requests(address: SocketAddr, time_left: Duration) -> Vec<Answer> {
+    let send = move || {
+        let mut client = Client::open(address);
+        let sent = Instant::now();
+        client.send(&request("read", time_left.as_millis() as u64));
+        client.set_read_timeout(time_left + MAX_RESPONSE_DELAY);
+        let status = client.read_response().map(|response| response.status());
+        Answer { status, after: sent.elapsed() }
+    };
+    let threads: Vec<_> = (0..REQUESTS).map(|_| std::thread::spawn(send)).collect();
+    threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+}
+
+/// Asserts that every request was answered at most half a second after its deadline.
+fn assert_answered(answers: &[Answer], time_left: Duration, case: &str) {
+    for answer in answers {
+        assert!(
+            answer.status.is_some() && answer.after <= time_left + MAX_RESPONSE_DELAY,
+            "{case}, {time_left:?} left: {answers:?}"
+        );
+    }
+}
+
+/// Asserts that every request was answered before its deadline, and that nine in ten were served. The balancer
+/// rejects single requests at random while it starts.
+fn assert_served(answers: &[Answer], time_left: Duration, case: &str) {
+    let served = answers.iter().filter(|answer| answer.status == Some(200)).count();
+    let all_in_time = answers.iter().all(|answer| answer.status.is_some() && answer.after <= time_left);
+    assert!(all_in_time && served * 10 >= answers.len() * 9, "{case}, {time_left:?} left: {answers:?}");
+}
+
+/// A proxy with [`DESCRIPTORS`] descriptors, and its environment.
+struct Fleet {
+    proxy: ProxyProcess,
+    _backends: Vec<Backend>,
+    _discovery: Discovery,
+}
+
+impl Fleet {
+    /// Starts a proxy with backends that respond to requests of class `pay` as given, and to others in
+    /// [`SERVICE_TIME`].
+    fn start(respond_to_pay: fn() -> Reply) -> Fleet {
+        let respond = move |message: &Message| match message.start_line.contains("/pay/") {
+            true => respond_to_pay(),
+            false => {
+                std::thread::sleep(SERVICE_TIME);
+                ok_response("x")
+            }
+        };
+        let backends: Vec<Backend> = (0..BACKENDS).map(|_| Backend::start(respond)).collect();
+        let discovery = Discovery::start();
+        let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
+        config["limits"]["sockets"] = json!(DESCRIPTORS);
+        Fleet { proxy: ProxyProcess::start(&config), _backends: backends, _discovery: discovery }
+    }
+}
+
+/// Opens connections that send the text and stay.
+fn open_clients(address: SocketAddr, text: &str) -> Vec<Client> {
+    let open = |_| {
+        let mut client = Client::open(address);
+        client.send(text);
+        client
+    };
+    (0..DESCRIPTORS).map(open).collect()
+}
+
+/// Guards against requests that are answered too late, or not at all, because their connection waits in the
+/// listen queue until the proxy has given up on other clients.
+#[test]
+fn requests_behind_stalled_clients_are_answered_in_time() {
+    for (case, text) in [("silent", ""), ("partial head", PARTIAL_HEAD), ("partial body", PARTIAL_BODY)] {
+        for time_left in [Duration::from_millis(200), Duration::from_secs(1)] {
+            let fleet = Fleet::start(|| ok_response("x"));
+            let _stalled_clients = open_clients(fleet.proxy.address, text);
+            let answers = send_requests(fleet.proxy.address, time_left);
+            assert_answered(&answers, time_left, case);
+            // The others have little time for an attempt, and may be rejected.
+            if time_left == Duration::from_secs(1) {
+                assert_served(&answers, time_left, case);
+            }
+        }
+    }
+}
+
+/// Guards against clients that do not close their connection when the proxy ends it, and so occupy its slot.
+#[test]
+fn requests_behind_clients_that_stay_after_their_response_are_served_in_time() {
+    let fleet = Fleet::start(|| ok_response("x"));
+    let time_left = Duration::from_secs(1);
+    let mut served_clients = Vec::new();
+    for number in 0..DESCRIPTORS {
+        let mut client = Client::open(fleet.proxy.address);
+        let began = Instant::now();
+        client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(client.read_response().map(|response| response.status()), Some(200), "probe {number}");
+        assert!(began.elapsed() < time_left, "probe {number} took {:?}", began.elapsed());
+        served_clients.push(client);
+    }
+    let answers = send_requests(fleet.proxy.address, time_left);
+    assert_served(&answers, time_left, "served before");
+}
+
+/// Guards against requests that wait in the listen queue while all slots have pending requests.
+#[test]
+fn requests_behind_pending_requests_are_answered_in_time() {
+    let fleet = Fleet::start(|| Reply::NoResponse);
+    let pending = request("pay", 5000);
+    let _pending_clients = open_clients(fleet.proxy.address, &pending);
+    let time_left = Duration::from_millis(200);
+    let answers = send_requests(fleet.proxy.address, time_left);
+    assert_answered(&answers, time_left, "pending requests");
+}
+
+/// Guards against requests that wait in the listen queue while other clients keep connecting.
+#[test]
+fn requests_among_clients_that_keep_connecting_are_answered_in_time() {
+    let fleet = Fleet::start(|| ok_response("x"));
+    let _connecting_clients =
+        ConnectingClients::start(fleet.proxy.address, Duration::ZERO, MAX_CONNECTING_CLIENTS);
+    let time_left = Duration::from_millis(500);
+    let answers: Vec<Answer> = (0..10).flat_map(|_| send_requests(fleet.proxy.address, time_left)).collect();
+    assert_answered(&answers, time_left, "clients that keep connecting");
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod forwarding;
 mod graceful_shutdown;
 mod idle_clients;
+mod listen_queue;
 mod logging;
 mod malformed_requests;
 mod reload;
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod client;
+mod connecting_clients;
 mod discovery;
 mod faults;
 mod http;
@@ -14,6 +15,7 @@
 
 pub use backend::Backend;
 pub use client::{send_request, warm_up, Client};
+pub use connecting_clients::ConnectingClients;
 pub use discovery::Discovery;
 pub use faults::Faults;
 pub use http::{ok_response, read_message, request, Message, Reply};
