Respect the connection limit while the listen queue is served during shutdown

Cause: from 0.5 s after SIGTERM on, the connections of the listen queue were accepted without regard to the number of open ones, and without closing inactive ones; those that waited there counted as not queued.

Change: the same rule as before the shutdown: a connection is accepted when a slot is free, and inactive ones are closed to free slots.

--- a/src/bin/load-balancer-proxy/server/capacity.rs
+++ b/src/bin/load-balancer-proxy/server/capacity.rs
@@ -1,9 +1,9 @@
 //! Limits the number of open client connections.
 //!
-//! The time of a request runs out while its connection waits in the listen queue, where nothing can answer it.
-//! Connections are therefore accepted at once, and when few slots are left, inactive connections are closed to
-//! free theirs. The last slots, the spare ones, never hold a pending request, so that there is always a connection
-//! that can be closed soon.
+//! The time of a request runs out while its connection waits in the listen queue, where nothing can answer
+//! it. Connections are therefore accepted at once, and when few slots are left, inactive connections are
+//! closed to free theirs. The last slots, the spare ones, never hold a pending request, so that there is
+//! always a connection that can be closed soon.
 
 use super::client_connection::ClientConnection;
 use super::inactivity::InactiveConnection;
--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -99,7 +99,8 @@
     is_awaiting_response: Cell<bool>,
     /// How the connection was asked to close; `None` if it was not.
     close_mode: Cell<Option<CloseMode>>,
-    /// Time until which the connection is expected to be closed; zero if it was not asked to and has not ended.
+    /// Time until which the connection is expected to be closed; zero if it was not asked to and has not
+    /// ended.
     closing_until: Cell<Time>,
     /// When the last response was sent; `None` before.
     ended_at: Cell<Option<Time>>,
@@ -198,8 +199,8 @@
         Some(CloseDeadline { at: self.idle_deadline(), mode: CloseMode::Graceful })
     }
 
-    /// Returns whether and when the connection can be closed to free its slot. `None` while it awaits a response
-    /// and once it was asked to close, unless it has ended or its client has begun another request.
+    /// Returns whether and when the connection can be closed to free its slot. `None` while it awaits a
+    /// response and once it was asked to close, unless it has ended or its client has begun another request.
     pub fn inactivity(&self) -> Option<InactiveConnection> {
         let inactive = |state, since| Some(InactiveConnection { state, since, closable_at: since });
         let inactive_after_allowance = |state, since| {
@@ -240,8 +241,8 @@
         self.closing_until.get()
     }
 
-    /// Records that the last response was sent. The connection then waits for the client's close, except that a
-    /// client that was sent a 408 is not expected to react.
+    /// Records that the last response was sent. The connection then waits for the client's close, except that
+    /// a client that was sent a 408 is not expected to react.
     pub fn end(&self, last_response: LastResponse) {
         let now = self.clock.now();
         self.ended_at.set(Some(now));
--- a/src/bin/load-balancer-proxy/server/graceful_shutdown.rs
+++ b/src/bin/load-balancer-proxy/server/graceful_shutdown.rs
@@ -59,13 +59,19 @@
             if queue.is_none() && self.connections.borrow().is_empty() {
                 return;
             }
+            let next_capacity_check = self.reclaim_capacity();
+            let has_free_slot = self.has_free_slot();
+            if let Some(queue) = queue.as_mut().filter(|_| !has_free_slot) {
+                queue.mark_connections_waiting();
+            }
             tokio::select! {
                 biased;
-                accepted = next_accepted(queue) => match accepted {
+                accepted = next_accepted(queue), if has_free_slot => match accepted {
                     Some(accepted) => self.clone().spawn_connection(accepted),
                     None => *queue = None,
                 },
                 () = self.connections_changed.notified() => {}
+                () = tokio::time::sleep_until(self.clock.instant(next_capacity_check)) => {}
             }
         }
     }
--- a/src/bin/load-balancer-proxy/server/inactivity.rs
+++ b/src/bin/load-balancer-proxy/server/inactivity.rs
@@ -1,4 +1,5 @@
-//! Client connections that can be closed to free their slots: those without a request that the proxy has to answer.
+//! Client connections that can be closed to free their slots: those without a request that the proxy has to
+//! answer.
 
 use super::client_connection::CloseMode;
 use load_balancer::Time;
--- a/src/bin/load-balancer-proxy/server/listener.rs
+++ b/src/bin/load-balancer-proxy/server/listener.rs
@@ -87,6 +87,12 @@
 }
 
 impl ListenQueue {
+    /// Records that connections may be waiting from now on, as
+    /// [`Acceptor::mark_connections_waiting`] does.
+    pub fn mark_connections_waiting(&mut self) {
+        self.waiting_since.get_or_insert_with(Instant::now);
+    }
+
     /// Returns the next connection, or `None` if the queue is empty. Waits while the resources of this
     /// machine are exhausted. Cancel safe: no connection is lost if the future is dropped.
     pub async fn next(&mut self) -> Option<Accepted> {
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -66,7 +66,8 @@
     last_id: Cell<u64>,
     is_shutting_down: Cell<bool>,
     connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
-    /// Notified when the task of a client connection has ended, or at capacity only waits for the client's close.
+    /// Notified when the task of a client connection has ended, or at capacity only waits for the client's
+    /// close.
     connections_changed: Notify,
 }
 
--- a/tests/proxy/listen_queue.rs
+++ b/tests/proxy/listen_queue.rs
@@ -16,6 +16,8 @@
 /// Time after its deadline by which a request must have its response.
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(500);
 const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// How long the proxy accepts connections after SIGTERM.
+const ACCEPT_PERIOD: Duration = Duration::from_millis(500);
 /// Number of connections that clients who keep connecting have open at once.
 const MAX_CONNECTING_CLIENTS: usize = 300;
 
@@ -56,8 +58,8 @@
     }
 }
 
-/// Asserts that every request was answered before its deadline, and that nine in ten were served. The balancer
-/// rejects single requests at random while it starts.
+/// Asserts that every request was answered before its deadline, and that nine in ten were served. The
+/// balancer rejects single requests at random while it starts.
 fn assert_served(answers: &[Answer], time_left: Duration, case: &str) {
     let served = answers.iter().filter(|answer| answer.status == Some(200)).count();
     let all_in_time = answers.iter().all(|answer| answer.status.is_some() && answer.after <= time_left);
@@ -157,3 +159,27 @@
     let answers: Vec<Answer> = (0..10).flat_map(|_| send_requests(fleet.proxy.address, time_left)).collect();
     assert_answered(&answers, time_left, "clients that keep connecting");
 }
+
+/// Guards against a graceful shutdown that accepts the whole listen queue at once, with more connections than
+/// the proxy may have descriptors.
+#[test]
+fn the_descriptor_limit_holds_while_the_listen_queue_is_served_during_shutdown() {
+    let mut fleet = Fleet::start(|| Reply::NoResponse);
+    let mut clients = Vec::new();
+    fleet.proxy.terminate();
+    std::thread::sleep(ACCEPT_PERIOD - Duration::from_millis(50));
+    // The connections wait in the queue when the proxy stops accepting new ones.
+    fleet.proxy.stall(Duration::from_millis(100), || {
+        clients = open_clients(fleet.proxy.address, &request("pay", 2000));
+    });
+    let began = Instant::now();
+    let mut most = 0;
+    while began.elapsed() < Duration::from_millis(500) {
+        most = most.max(fleet.proxy.open_descriptors());
+    }
+    assert!(most <= DESCRIPTORS, "{most} descriptors of {DESCRIPTORS}");
+    for client in &mut clients {
+        assert!(client.read_response().is_some());
+    }
+    assert!(fleet.proxy.wait_for_exit().success());
+}
--- a/tests/proxy/support/connecting_clients.rs
+++ b/tests/proxy/support/connecting_clients.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Clients that keep connecting, send nothing and stay, except that the oldest ones leave if there are too many.
+/// Clients that keep connecting, send nothing and stay. If there are too many, the oldest ones leave.
 pub struct ConnectingClients {
     stop: Arc<AtomicBool>,
     connecting: Option<std::thread::JoinHandle<()>>,
--- a/tests/proxy/support/proxy_process.rs
+++ b/tests/proxy/support/proxy_process.rs
@@ -110,6 +110,11 @@
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
+    /// Returns the number of file descriptors that the process has open; 0 if it has exited.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
