Count the whole wait for the accept towards the deadline of a request

What callers saw: a request whose connection was accepted 0.6 s after it was sent, with 0.5 s left and a backend that hangs, got its 502 after 1.10 s, where 1.0 s is the limit; a backend was told 1660 and 1678 ms when the client had 1400 ms left, where 150 ms too much are allowed.

The wait in the listen queue was known, but deducted only from the time left that a backend receives, and there up to 0.3 s only. After the accept no longer waits for slots, this still happens while accepts fail for lack of resources.

Change: deadline, body deadline and time left all count from the earliest time at which the request may have been sent, without an upper limit of the deduction. The latency in request ended counts from then too.

--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -36,8 +36,6 @@
 
 /// A first byte read within this time after the accept may have arrived before the accept.
 const MAX_QUEUED_READ_DELAY: Duration = Duration::from_millis(40);
-/// Upper bound of the accept delay that is deducted from a request's remaining time.
-const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(300);
 
 /// Times at which hyper read data of a client. Data that was read ahead counts when it is passed to hyper.
 pub struct ReadTimes {
@@ -179,7 +177,7 @@
         if self.has_answered.get() || first_byte_at - self.accepted_at > micros(MAX_QUEUED_READ_DELAY) {
             return Micros(0);
         }
-        (self.accepted_at - self.opened_at).min(micros(MAX_ACCEPT_DELAY))
+        self.accepted_at - self.opened_at
     }
 
     /// Returns when and how the connection is closed unless its state changes. `None` while a request is
--- a/src/bin/load-balancer-proxy/server/disconnect_guard.rs
+++ b/src/bin/load-balancer-proxy/server/disconnect_guard.rs
@@ -38,16 +38,16 @@
     server: &'a Server,
     id: RequestId,
     upstream_request: Rc<UpstreamRequest>,
-    received_at: Time,
+    arrived_at: Time,
     is_answered: bool,
 }
 
 impl<'a> DisconnectGuard<'a> {
-    /// Creates a guard for a request whose head was read at `received_at`.
+    /// Creates a guard for a request that was sent at `arrived_at` at the earliest.
     pub fn new(
-        server: &'a Server, id: RequestId, upstream_request: Rc<UpstreamRequest>, received_at: Time,
+        server: &'a Server, id: RequestId, upstream_request: Rc<UpstreamRequest>, arrived_at: Time,
     ) -> DisconnectGuard<'a> {
-        DisconnectGuard { server, id, upstream_request, received_at, is_answered: false }
+        DisconnectGuard { server, id, upstream_request, arrived_at, is_answered: false }
     }
 
     /// Logs the outcome of an answered request and disarms the guard.
@@ -62,7 +62,7 @@
             %outcome,
             request = self.id.0,
             correlation_id = %self.upstream_request.correlation_id(),
-            latency_us = (self.server.clock.now() - self.received_at).0,
+            latency_us = (self.server.clock.now() - self.arrived_at).0,
             "request ended"
         );
     }
--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -25,9 +25,10 @@
 
 /// A valid request that was read completely.
 struct CompleteRequest {
-    received_at: Time,
-    /// How long the request may have waited before it was read, in the operating system's queues or during a
-    /// stall.
+    /// Earliest time at which the request may have been sent: its connection may have waited in the listen
+    /// queue before it was accepted.
+    arrived_at: Time,
+    /// How long the request may have waited after the accept until it was read, for example during a stall.
     time_before_read: Micros,
     parsed: ParsedRequest,
     head: Parts,
@@ -62,21 +63,21 @@
     async fn read_request(
         &self, request: Request<Incoming>, client: &ClientConnection,
     ) -> Result<CompleteRequest, RequestError> {
-        let received_at = self.clock.now();
-        let time_before_read = Micros(self.stall_detector.unobserved_time().0 + client.accept_delay().0);
+        let arrived_at = self.clock.now().saturating_sub(client.accept_delay());
+        let time_before_read = self.stall_detector.unobserved_time();
         let (head, body) = request.into_parts();
         let mut parsed = ParsedRequest::parse(&self.settings.borrow(), &head, body.size_hint().exact())?;
         if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
             return Err(RequestError::BodyTooLarge);
         }
-        let deadline = client.request_read_deadline().min(received_at + parsed.time_left);
+        let deadline = client.request_read_deadline().min(arrived_at + parsed.time_left);
         let body = self.read_body(body, client, deadline).await?;
         // If the settings were reloaded while the body was read, the request is parsed again: the settings
         // that are current at its last byte apply.
         if parsed.settings_version != self.settings.borrow().version {
             parsed = ParsedRequest::parse(&self.settings.borrow(), &head, Some(body.len() as u64))?;
         }
-        Ok(CompleteRequest { received_at, time_before_read, parsed, head, body })
+        Ok(CompleteRequest { arrived_at, time_before_read, parsed, head, body })
     }
 
     async fn read_body(
@@ -99,10 +100,10 @@
 
     /// Sends a request to the dispatcher and waits for the final response.
     async fn forward(&self, request: CompleteRequest, client: &ClientConnection) -> ServerResponse {
-        let CompleteRequest { received_at, time_before_read, parsed, head, body } = request;
+        let CompleteRequest { arrived_at, time_before_read, parsed, head, body } = request;
         let upstream_request = Rc::new(UpstreamRequest::new(upstream_head(head), body, time_before_read));
         let id = RequestId(self.next_id());
-        let guard = DisconnectGuard::new(self, id, upstream_request.clone(), received_at);
+        let guard = DisconnectGuard::new(self, id, upstream_request.clone(), arrived_at);
         tracing::debug!(
             request = id.0,
             correlation_id = %upstream_request.correlation_id(),
@@ -118,7 +119,7 @@
             id,
             class: parsed.class,
             tenant: parsed.tenant,
-            deadline: received_at + Micros(parsed.time_left.0.saturating_sub(parsed.margin.0)),
+            deadline: arrived_at + Micros(parsed.time_left.0.saturating_sub(parsed.margin.0)),
             expected_work: parsed.expected_work,
             is_client_retry: parsed.is_client_retry,
             upstream_request,
--- a/src/bin/load-balancer-proxy/upstream/request.rs
+++ b/src/bin/load-balancer-proxy/upstream/request.rs
@@ -17,16 +17,16 @@
 pub struct UpstreamRequest {
     head: Request<()>,
     body: Bytes,
-    /// Upper bound on the time that the request waited before it was read, which already counts towards the
-    /// client's time limit.
+    /// Upper bound on the time that the request waited on its accepted connection before it was read, which
+    /// already counts towards the client's time limit.
     time_before_read: Micros,
     is_answered: Cell<bool>,
     answered: Notify,
 }
 
 impl UpstreamRequest {
-    /// Creates a request to forward. `time_before_read` is an upper bound on the time that it waited before
-    /// it was read.
+    /// Creates a request to forward. `time_before_read` is an upper bound on the time that it waited on its
+    /// accepted connection before it was read.
     pub fn new(head: Request<()>, body: Bytes, time_before_read: Micros) -> UpstreamRequest {
         UpstreamRequest {
             head,
--- a/tests/proxy/listen_queue.rs
+++ b/tests/proxy/listen_queue.rs
@@ -2,8 +2,8 @@
 //! are sent, not from when the proxy accepts their connection.
 
 use crate::support::{
-    config, ok_response, ready_endpoints, request, Backend, Client, ConnectingClients, Discovery, Message,
-    ProxyProcess, Reply,
+    config, ok_response, ready_endpoints, request, wait_until, Backend, Client, ConnectingClients, Discovery,
+    Faults, Message, ProxyProcess, Reply,
 };
 use serde_json::json;
 use std::net::SocketAddr;
@@ -11,11 +11,17 @@
 
 /// File descriptors of the proxy, and number of other clients, who would use all of them.
 const DESCRIPTORS: usize = 256;
+/// Descriptors with which the proxy can accept several hundred connections.
+const MANY_DESCRIPTORS: usize = 1024;
 const REQUESTS: usize = 20;
 const BACKENDS: usize = 9;
 /// Time after its deadline by which a request must have its response.
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(500);
 const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// How long a connection waits to be accepted while accepts fail.
+const FAILED_ACCEPTS_TIME: Duration = Duration::from_millis(600);
+/// Maximum by which the time left that a backend receives may exceed the client's actual time left.
+const MAX_TIME_LEFT_EXCESS: Duration = Duration::from_millis(150);
 /// How long the proxy accepts connections after SIGTERM.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(500);
 /// Number of connections that clients who keep connecting have open at once.
@@ -66,17 +72,18 @@
     assert!(all_in_time && served * 10 >= answers.len() * 9, "{case}, {time_left:?} left: {answers:?}");
 }
 
-/// A proxy with [`DESCRIPTORS`] descriptors, and its environment.
+/// A proxy and its environment.
 struct Fleet {
     proxy: ProxyProcess,
-    _backends: Vec<Backend>,
+    backends: Vec<Backend>,
+    faults: Faults,
     _discovery: Discovery,
 }
 
 impl Fleet {
     /// Starts a proxy with backends that respond to requests of class `pay` as given, and to others in
     /// [`SERVICE_TIME`].
-    fn start(respond_to_pay: fn() -> Reply) -> Fleet {
+    fn start(descriptors: usize, respond_to_pay: fn() -> Reply) -> Fleet {
         let respond = move |message: &Message| match message.start_line.contains("/pay/") {
             true => respond_to_pay(),
             false => {
@@ -87,8 +94,11 @@
         let backends: Vec<Backend> = (0..BACKENDS).map(|_| Backend::start(respond)).collect();
         let discovery = Discovery::start();
         let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
-        config["limits"]["sockets"] = json!(DESCRIPTORS);
-        Fleet { proxy: ProxyProcess::start(&config), _backends: backends, _discovery: discovery }
+        config["limits"]["sockets"] = json!(descriptors);
+        let faults = Faults::none();
+        let proxy = ProxyProcess::spawn_with_faults(&faults, &config);
+        wait_until("the proxy to be ready", || proxy.readiness_status() == 200);
+        Fleet { proxy, backends, faults, _discovery: discovery }
     }
 }
 
@@ -108,7 +118,7 @@
 fn requests_behind_stalled_clients_are_answered_in_time() {
     for (case, text) in [("silent", ""), ("partial head", PARTIAL_HEAD), ("partial body", PARTIAL_BODY)] {
         for time_left in [Duration::from_millis(200), Duration::from_secs(1)] {
-            let fleet = Fleet::start(|| ok_response("x"));
+            let fleet = Fleet::start(DESCRIPTORS, || ok_response("x"));
             let _stalled_clients = open_clients(fleet.proxy.address, text);
             let answers = send_requests(fleet.proxy.address, time_left);
             assert_answered(&answers, time_left, case);
@@ -123,7 +133,7 @@
 /// Guards against clients that do not close their connection when the proxy ends it, and so occupy its slot.
 #[test]
 fn requests_behind_clients_that_stay_after_their_response_are_served_in_time() {
-    let fleet = Fleet::start(|| ok_response("x"));
+    let fleet = Fleet::start(DESCRIPTORS, || ok_response("x"));
     let time_left = Duration::from_secs(1);
     let mut served_clients = Vec::new();
     for number in 0..DESCRIPTORS {
@@ -141,7 +151,7 @@
 /// Guards against requests that wait in the listen queue while all slots have pending requests.
 #[test]
 fn requests_behind_pending_requests_are_answered_in_time() {
-    let fleet = Fleet::start(|| Reply::NoResponse);
+    let fleet = Fleet::start(DESCRIPTORS, || Reply::NoResponse);
     let pending = request("pay", 5000);
     let _pending_clients = open_clients(fleet.proxy.address, &pending);
     let time_left = Duration::from_millis(200);
@@ -152,7 +162,7 @@
 /// Guards against requests that wait in the listen queue while other clients keep connecting.
 #[test]
 fn requests_among_clients_that_keep_connecting_are_answered_in_time() {
-    let fleet = Fleet::start(|| ok_response("x"));
+    let fleet = Fleet::start(DESCRIPTORS, || ok_response("x"));
     let _connecting_clients =
         ConnectingClients::start(fleet.proxy.address, Duration::ZERO, MAX_CONNECTING_CLIENTS);
     let time_left = Duration::from_millis(500);
@@ -160,11 +170,56 @@
     assert_answered(&answers, time_left, "clients that keep connecting");
 }
 
+/// Sends the text on this many new connections while accepts fail, for [`FAILED_ACCEPTS_TIME`], and returns
+/// the answers.
+fn send_before_accept(fleet: &Fleet, text: &str, connections: usize) -> Vec<Answer> {
+    fleet.faults.fail_accepts(100);
+    let open = |_| {
+        let mut client = Client::open(fleet.proxy.address);
+        client.send(text);
+        (client, Instant::now())
+    };
+    let clients: Vec<(Client, Instant)> = (0..connections).map(open).collect();
+    std::thread::sleep(FAILED_ACCEPTS_TIME);
+    fleet.faults.fail_accepts(0);
+    let read = |(mut client, sent): (Client, Instant)| {
+        let status = client.read_response().map(|response| response.status());
+        Answer { status, after: sent.elapsed() }
+    };
+    clients.into_iter().map(read).collect()
+}
+
+/// Guards against deadlines that count from the accept: the requests are then answered too late.
+#[test]
+fn the_deadline_of_a_request_counts_from_before_its_connection_is_accepted() {
+    let fleet = Fleet::start(MANY_DESCRIPTORS, || Reply::NoResponse);
+    let time_left = Duration::from_millis(500);
+    let text = request("pay", time_left.as_millis() as u64);
+    for connections in [1, 300] {
+        let answers = send_before_accept(&fleet, &text, connections);
+        assert!(answers.iter().all(|answer| answer.after > FAILED_ACCEPTS_TIME), "{answers:?}");
+        assert_answered(&answers, time_left, "failed accepts");
+    }
+}
+
+/// Guards against a time left sent to a backend that includes the whole or a part of the wait for the accept.
+#[test]
+fn the_time_left_sent_to_a_backend_excludes_the_whole_wait_for_the_accept() {
+    let fleet = Fleet::start(DESCRIPTORS, || ok_response("x"));
+    let answers = send_before_accept(&fleet, &request("pay", 2000), 1);
+    assert_eq!(answers[0].status, Some(200), "{answers:?}");
+    let requests: Vec<Message> = fleet.backends.iter().flat_map(Backend::requests).collect();
+    let [received] = &requests[..] else { panic!("expected one request, got {}", requests.len()) };
+    let time_left_ms: u64 = received.header("x-time-left-ms").unwrap().parse().unwrap();
+    let most = Duration::from_secs(2) - FAILED_ACCEPTS_TIME + MAX_TIME_LEFT_EXCESS;
+    assert!(Duration::from_millis(time_left_ms) <= most, "{time_left_ms} ms, expected at most {most:?}");
+}
+
 /// Guards against a graceful shutdown that accepts the whole listen queue at once, with more connections than
 /// the proxy may have descriptors.
 #[test]
 fn the_descriptor_limit_holds_while_the_listen_queue_is_served_during_shutdown() {
-    let mut fleet = Fleet::start(|| Reply::NoResponse);
+    let mut fleet = Fleet::start(DESCRIPTORS, || Reply::NoResponse);
     let mut clients = Vec::new();
     fleet.proxy.terminate();
     std::thread::sleep(ACCEPT_PERIOD - Duration::from_millis(50));
