Check for a client that has left before its request is forwarded, if it waited

Cause: the runtime reads a newly accepted socket without waiting for a notification, and a read that returns the whole request tells nothing of the close behind it. That is noticed with the next poll of the operating system, after the first attempt. A trace of the system calls shows it: accept, read, connect to the backend, and only then the poll that reports the close. Yielding once was tried and not enough, because a poll that does not wait takes only some of the events.

Change: if a request may have waited 50 ms or longer, its socket is read again at once, before the dispatcher acts on the request. socket2, so far a dependency of the tests and of the runtime, does that read without unsafe code.

--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -95,6 +95,8 @@
     is_handling_request: Cell<bool>,
     /// Whether a request was read completely and awaits its response.
     is_awaiting_response: Cell<bool>,
+    /// Whether the client may have left while the request that awaits its response waited to be read.
+    is_disconnect_unchecked: Cell<bool>,
     /// How the connection was asked to close; `None` if it was not.
     close_mode: Cell<Option<CloseMode>>,
     /// Time until which the connection is expected to be closed; zero if it was not asked to and has not
@@ -126,6 +128,7 @@
             has_answered: Cell::default(),
             is_handling_request: Cell::default(),
             is_awaiting_response: Cell::default(),
+            is_disconnect_unchecked: Cell::default(),
             close_mode: Cell::default(),
             closing_until: Cell::default(),
             ended_at: Cell::default(),
@@ -152,6 +155,16 @@
         self.is_awaiting_response.get()
     }
 
+    /// Sets whether the client may have left while the request that awaits its response waited to be read.
+    pub fn set_disconnect_unchecked(&self, is_unchecked: bool) {
+        self.is_disconnect_unchecked.set(is_unchecked);
+    }
+
+    /// Returns whether it must be checked at once if the client has left; resets that.
+    pub fn take_disconnect_unchecked(&self) -> bool {
+        self.is_disconnect_unchecked.take()
+    }
+
     /// Records that the response is ready to be written. The connection counts as idle from now on.
     pub fn end_request(&self) {
         self.is_handling_request.set(false);
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -9,9 +9,10 @@
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::future::poll_fn;
-use std::io;
+use std::io::{self, Read as _};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -105,6 +106,24 @@
         let _ = tokio::time::timeout(timeout, end).await;
     }
 
+    /// Reads ahead what has arrived, without waiting for the runtime to be notified of it. Returns whether the
+    /// client has closed the connection, at least for sending, or reset it.
+    pub fn is_disconnected(&self) -> bool {
+        let socket = &mut *self.0.borrow_mut();
+        for _ in 0..MAX_READ_AHEAD_BYTES / READ_BUFFER_BYTES {
+            let mut buffer = [0; READ_BUFFER_BYTES];
+            let read = (&*SockRef::from(socket.io.inner())).read(&mut buffer);
+            match read {
+                Ok(0) => return true,
+                Ok(length) => socket.buffer(&buffer[..length]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return true,
+            }
+        }
+        false
+    }
+
     /// Reads ahead. Ready once the client has reset the connection or closed it, at least for sending, even
     /// if it sent further bytes before.
     pub fn poll_disconnected(&self, cx: &mut Context) -> Poll<()> {
--- a/src/bin/load-balancer-proxy/server/connection_task.rs
+++ b/src/bin/load-balancer-proxy/server/connection_task.rs
@@ -88,9 +88,14 @@
         let connection = http.serve_connection(socket.clone(), service);
         tokio::pin!(connection);
         // Polled after `connection`, which runs the request handler that sets `is_awaiting_response`.
-        let disconnected = poll_fn(|cx| match client.is_awaiting_response() {
-            true => socket.poll_disconnected(cx),
-            false => Poll::Pending,
+        let disconnected = poll_fn(|cx| {
+            if !client.is_awaiting_response() {
+                return Poll::Pending;
+            }
+            if client.take_disconnect_unchecked() && socket.is_disconnected() {
+                return Poll::Ready(());
+            }
+            socket.poll_disconnected(cx)
         });
         tokio::pin!(disconnected);
         loop {
--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -23,6 +23,10 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
+/// If a request may have waited this long before it was read, its socket is read again at once, because no
+/// attempt may begin later than 0.1 s after its client has left.
+const MAX_UNCHECKED_WAIT: Micros = Micros(50_000);
+
 /// A valid request that was read completely.
 struct CompleteRequest {
     /// Earliest time at which the request may have been sent: its connection may have waited in the listen
@@ -101,6 +105,7 @@
     /// Sends a request to the dispatcher and waits for the final response.
     async fn forward(&self, request: CompleteRequest, client: &ClientConnection) -> ServerResponse {
         let CompleteRequest { arrived_at, time_before_read, parsed, head, body } = request;
+        let waited = Micros(client.accept_delay().0 + time_before_read.0);
         let upstream_request = Rc::new(UpstreamRequest::new(upstream_head(head), body, time_before_read));
         let id = RequestId(self.next_id());
         let guard = DisconnectGuard::new(self, id, upstream_request.clone(), arrived_at);
@@ -126,6 +131,7 @@
             response_sender: sender,
         }));
         client.set_awaiting_response(true);
+        client.set_disconnect_unchecked(waited >= MAX_UNCHECKED_WAIT);
         let response = response.await;
         client.set_awaiting_response(false);
         // The sender is dropped if the dispatcher has ended, for example by a panic; every request fails
--- a/tests/proxy/listen_queue.rs
+++ b/tests/proxy/listen_queue.rs
@@ -2,8 +2,8 @@
 //! are sent, not from when the proxy accepts their connection.
 
 use crate::support::{
-    config, ok_response, ready_endpoints, request, wait_until, Backend, Client, ConnectingClients, Discovery,
-    Faults, Message, ProxyProcess, Reply,
+    config, ok_response, ready_endpoints, request, send_request, wait_until, Backend, Client,
+    ConnectingClients, Discovery, Faults, Message, ProxyProcess, Reply,
 };
 use serde_json::json;
 use std::net::SocketAddr;
@@ -215,6 +215,24 @@
     assert!(Duration::from_millis(time_left_ms) <= most, "{time_left_ms} ms, expected at most {most:?}");
 }
 
+/// Guards against attempts of requests whose client has left before its connection is accepted.
+#[test]
+fn a_request_whose_client_left_before_the_accept_is_not_sent_to_a_backend() {
+    let fleet = Fleet::start(MANY_DESCRIPTORS, || ok_response("x"));
+    for text in [request("pay", 2000), request("read", 2000)] {
+        fleet.faults.fail_accepts(100);
+        for _ in 0..REQUESTS {
+            Client::open(fleet.proxy.address).send(&text);
+        }
+        std::thread::sleep(FAILED_ACCEPTS_TIME);
+        fleet.faults.fail_accepts(0);
+        assert_eq!(send_request(&fleet.proxy, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+        std::thread::sleep(SERVICE_TIME);
+        let attempts: usize = fleet.backends.iter().map(|backend| backend.requests().len()).sum();
+        assert_eq!(attempts, 0, "{text}");
+    }
+}
+
 /// Guards against a graceful shutdown that accepts the whole listen queue at once, with more connections than
 /// the proxy may have descriptors.
 #[test]
