Soak: clients that stop in a head, and requests that are neither answered nor closed

Up to 160 clients now stay without a complete request, of which every other one sends half a head; there were up to 80, all silent. A request that was never read counted as kept even if its connection stayed open without a response; it is a violation now.

--- a/tests/proxy/soak/clients.rs
+++ b/tests/proxy/soak/clients.rs
@@ -54,11 +54,14 @@
             self.record.requests.lock().unwrap().insert(id, record);
             return None;
         }
-        client.set_read_timeout(time_left + MAX_RESPONSE_DELAY + TEST_THREAD_DELAY);
+        let patience = time_left + MAX_RESPONSE_DELAY + TEST_THREAD_DELAY;
+        client.set_read_timeout(patience);
         let response = client.read_response();
         if let Some(response) = &response {
             assert_own_response(id, response);
             record.outcome = RequestOutcome::Answered { status: response.status(), at: Instant::now() };
+        } else if sent.elapsed() >= patience {
+            record.outcome = RequestOutcome::TimedOut;
         }
         self.record.requests.lock().unwrap().insert(id, record);
         let is_reusable = response.is_some_and(|response| response.header("connection") != Some("close"));
--- a/tests/proxy/soak/faults.rs
+++ b/tests/proxy/soak/faults.rs
@@ -17,6 +17,9 @@
 /// Difference between the start times of successive processes of one backend.
 const RESTART_INTERVAL_MS: u64 = 1000;
 
+/// Upper limit, exclusive, of the clients that stay without a complete request.
+const MAX_STALLED_CLIENTS: u64 = 160;
+
 /// A run: one proxy, its environment, and the record of the run.
 pub struct Run {
     pub proxy: ProxyProcess,
@@ -63,6 +66,15 @@
         }
     }
 
+    /// Opens a connection that stays without a complete request. Every other one sends half a head.
+    fn open_stalled_client(&self, number: u64) -> Option<Client> {
+        let mut client = Client::try_open(self.proxy.address).ok()?;
+        if number % 2 == 1 {
+            client.send("GET /read HTTP/1.1\r\nHost: back");
+        }
+        Some(client)
+    }
+
     /// Injects a randomly drawn fault.
     pub fn inject_fault(
         &self, random: &mut Pcg32, states: &mut [EndpointState], idle_clients: &mut Vec<Client>,
@@ -86,8 +98,8 @@
             7 => self.faults.fail_connects([0, 5, 30][below(random, 3) as usize]),
             _ => {
                 idle_clients.clear();
-                let open = |_| Client::try_open(self.proxy.address).ok();
-                idle_clients.extend((0..below(random, 80)).filter_map(open));
+                let count = below(random, MAX_STALLED_CLIENTS);
+                idle_clients.extend((0..count).filter_map(|number| self.open_stalled_client(number)));
             }
         }
     }
--- a/tests/proxy/soak/record.rs
+++ b/tests/proxy/soak/record.rs
@@ -16,8 +16,10 @@
     Disconnected {
         at: Instant,
     },
-    /// The connection ended or the read timed out without a response.
+    /// The connection ended without a response.
     Unanswered,
+    /// The connection stayed open without a response for as long as the client waited.
+    TimedOut,
 }
 
 /// A request as sent by its client.
@@ -79,7 +81,7 @@
                 RequestOutcome::Answered { status, .. } if !matches!(status, 200 | 429 | 503)
             )),
             count(&|outcome| matches!(outcome, RequestOutcome::Disconnected { .. })),
-            count(&|outcome| outcome == RequestOutcome::Unanswered),
+            count(&|outcome| matches!(outcome, RequestOutcome::Unanswered | RequestOutcome::TimedOut)),
             self.drains.lock().unwrap().len(),
         )
     }
--- a/tests/proxy/soak/rules.rs
+++ b/tests/proxy/soak/rules.rs
@@ -46,13 +46,15 @@
         && drain.until.is_none_or(|until| attempt.at < until)
 }
 
-/// Returns a violation if the proxy received the request and did not answer it, or answered it too late.
+/// Returns a violation if the proxy received the request and did not answer it, answered it too late, or left
+/// its connection open without a response.
 fn check_response(id: u64, request: &RequestRecord, log: &str) -> Option<&'static str> {
     let field = format!(" correlation_id={id:x} ");
     let was_received = || log.lines().any(|line| line.contains("request received ") && line.contains(&field));
     let latest = request.sent + request.time_left + MAX_RESPONSE_DELAY + TEST_THREAD_DELAY;
     match request.outcome {
         RequestOutcome::Unanswered if was_received() => Some("no response"),
+        RequestOutcome::TimedOut => Some("neither a response nor the end of the connection"),
         RequestOutcome::Answered { at, .. } if at > latest => Some("late response"),
         _ => None,
     }
