--- a/tests/proxy/listen_queue.rs
+++ b/tests/proxy/listen_queue.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{
     config, ok_response, ready_endpoints, request, send_request, wait_until, Backend, Client,
-    ConnectingClients, Discovery, Faults, Message, ProxyProcess, Reply,
+    ConnectingClients, Discovery, Faults, Message, ProxyProcess, Reply, PAY_WITH_PARTIAL_BODY,
 };
 use serde_json::json;
 use std::net::SocketAddr;
@@ -28,10 +28,6 @@
 const MAX_CONNECTING_CLIENTS: usize = 300;
 
 const PARTIAL_HEAD: &str = "GET /read HTTP/1.1\r\nHost: back";
-const PARTIAL_BODY: &str = concat!(
-    "POST /pay/a HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n",
-    "X-Time-Left-Ms: 60000\r\nContent-Length: 4\r\n\r\nbo"
-);
 
 /// The response to a request, if any, and how long it took.
 #[derive(Debug)]
@@ -116,7 +112,9 @@
 /// listen queue until the proxy has given up on other clients.
 #[test]
 fn requests_behind_stalled_clients_are_answered_in_time() {
-    for (case, text) in [("silent", ""), ("partial head", PARTIAL_HEAD), ("partial body", PARTIAL_BODY)] {
+    for (case, text) in
+        [("silent", ""), ("partial head", PARTIAL_HEAD), ("partial body", PAY_WITH_PARTIAL_BODY)]
+    {
         for time_left in [Duration::from_millis(200), Duration::from_secs(1)] {
             let fleet = Fleet::start(DESCRIPTORS, || ok_response("x"));
             let _stalled_clients = open_clients(fleet.proxy.address, text);
--- a/tests/proxy/slow_clients.rs
+++ b/tests/proxy/slow_clients.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{
     config, endpoint, ok_response, request, start_proxy_for, Backend, Client, Discovery, ProxyProcess,
+    PAY_WITH_PARTIAL_BODY,
 };
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -97,11 +98,6 @@
     StalledPeer { text, served_before }
 }
 
-const PAY_WITH_PARTIAL_BODY: &str = concat!(
-    "POST /pay/a HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n",
-    "X-Time-Left-Ms: 60000\r\nContent-Length: 4\r\n\r\nbo"
-);
-
 const STALLED_PEERS: [StalledPeer; 6] = [
     stalled_peer("", false),
     stalled_peer("GET /read", false),
--- a/tests/proxy/support/http.rs
+++ b/tests/proxy/support/http.rs
@@ -106,6 +106,12 @@
     Reply::Send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// A request whose body lacks its last two bytes.
+pub const PAY_WITH_PARTIAL_BODY: &str = concat!(
+    "POST /pay/a HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Service-Class: pay\r\n",
+    "X-Time-Left-Ms: 60000\r\nContent-Length: 4\r\n\r\nbo"
+);
+
 /// Returns a request of one of the classes in [`settings`](super::settings). Tests replace parts of it, such
 /// as the correlation id 9b1f03aa5c7e2d41.
 pub fn request(class: &str, time_left_ms: u64) -> String {
