--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -10,7 +10,7 @@
 use crate::units::{ClassId, Micros};
 
 /// Fraction of the time between the unloaded latency and the latency objective after which a response is
-/// slow.
+/// slow. If the mean latency takes twice that fraction, the slowest responses miss the objective.
 const SLOW_THRESHOLD_FRACTION: f64 = 0.25;
 /// Lower bound of the admitted fraction: without any traffic, no response would show that the backends have
 /// recovered.
@@ -18,7 +18,7 @@
 /// Relative change of the admitted fraction per response.
 const ADJUSTMENT_STEP: f64 = 0.07;
 /// Steps down per slow response, for one step up per prompt response. The admitted fraction is stable while a
-/// third of the responses are slow.
+/// third of the responses are slow, so that a quarter of the backends may be outliers without load shedding.
 const SLOW_RESPONSE_WEIGHT: f64 = 2.0;
 /// Requests per second at this proxy above which the step shrinks, so that the admitted fraction changes no
 /// faster than responses show the effect of the change.
--- a/src/balancer/classes.rs
+++ b/src/balancer/classes.rs
@@ -5,7 +5,8 @@
 use crate::estimators::RunningMean;
 use crate::units::{ClassId, Micros};
 
-/// Samples in the window of a running mean or share.
+/// Samples in the window of a running mean or share. The error of a mean is then about a tenth of the
+/// spread of the samples.
 pub(super) const MEAN_WINDOW: f64 = 100.0;
 /// Assumed latency of a class before any of its requests is served, as a fraction of its latency objective.
 const ASSUMED_LATENCY_FRACTION: f64 = 0.25;
--- a/src/balancer/concurrency_limit.rs
+++ b/src/balancer/concurrency_limit.rs
@@ -5,7 +5,7 @@
 use crate::units::Micros;
 
 /// Attempts that all proxies together keep in flight at one backend: the mean number at a processor-sharing
-/// server with a utilization of 80 %.
+/// server with a utilization of 80 %. More attempts would only make each of them later.
 pub(super) const IN_FLIGHT_PER_BACKEND: f64 = 4.0;
 /// Standard deviations by which a proxy's limit exceeds its mean number of attempts in flight, which is taken
 /// as Poisson distributed.
--- a/src/balancer/deadlines.rs
+++ b/src/balancer/deadlines.rs
@@ -10,7 +10,7 @@
 /// Interval between checks of a queued request, in ticks.
 const QUEUED_CHECK_TICKS: f64 = 4.0;
 /// Multiple of the typical latency after which an attempt can be presumed lost with its connection; see
-/// [`attempt_presumed_lost_at`].
+/// [`attempt_presumed_lost_at`]. A backend that is ten times slower than usual still responds within it.
 const LOST_LATENCY_MULTIPLE: f64 = 12.0;
 
 /// The result of checking a request.
--- a/src/balancer/outlier_detection.rs
+++ b/src/balancer/outlier_detection.rs
@@ -11,7 +11,8 @@
 use crate::units::{BackendId, Micros, Time};
 
 /// Number of successes that end the probation after an ejection for an error response. After any other
-/// outcome, one success ends it.
+/// outcome, one success ends it. A backend that answers every fourth request with an error is likely to be
+/// ejected again before it has that many.
 const PROBATION_SUCCESSES: u32 = 10;
 /// Minimum error rate at which a backend is ejected; two errors in close succession exceed it.
 const MIN_EJECTION_ERROR_RATE: f64 = 0.3;
--- a/src/balancer/retry.rs
+++ b/src/balancer/retry.rs
@@ -6,7 +6,8 @@
 use crate::config::{Config, Idempotency, IdempotencyScope};
 use crate::units::{Micros, Time};
 
-/// Retries that each arriving request adds to the budget.
+/// Retries that each arriving request adds to the budget: twice the usual tenth, for the time until an
+/// outlier is ejected.
 const RETRIES_PER_REQUEST: f64 = 0.2;
 /// Capacity of the budget, as the number of requests whose retries it holds.
 const BUDGET_REQUESTS: f64 = 100.0;
--- a/src/balancer/service_rate_estimation.rs
+++ b/src/balancer/service_rate_estimation.rs
@@ -11,7 +11,8 @@
 use crate::estimators::RunningMean;
 use crate::units::Micros;
 
-/// Time constant with which the service rate and the arrival rate of a kind are smoothed.
+/// Time constant with which the service rate and the arrival rate of a kind are smoothed. The service rate
+/// changes seldom, the traffic from which it is computed all the time.
 const SERVICE_RATE_TIME_CONSTANT: Micros = Micros(10_000_000);
 /// A latency is clipped at this multiple of its kind's mean, so that a few late responses of outliers do not
 /// lower the estimate of the whole kind.
@@ -20,7 +21,8 @@
 /// samples.
 const MIN_SAMPLES: f64 = 10.0;
 /// Prior of the unloaded latency, as a fraction of the shortest latency objective. Deliberately high: an
-/// estimate that is too high falls with the first samples, one that is too low would take long to rise.
+/// estimate that is too high falls with the first samples, one that is too low would take long to rise. With
+/// a higher latency the objective could hardly be met, whatever the balancer does.
 const UNLOADED_PRIOR_FRACTION: f64 = 0.5;
 /// Fraction per second by which the lowest recent latencies rise, up to the current mean latency. Old
 /// minima are forgotten in this way.
--- a/src/balancer/subscription.rs
+++ b/src/balancer/subscription.rs
@@ -12,7 +12,8 @@
 /// The first calls after a loss are spread over this time multiplied by the number of proxies.
 const SPREAD_PER_PROXY: Micros = Micros(50_000);
 /// Maximum backoff before a call after a loss: half of the 6 s after which the platform counts a proxy as
-/// notified once discovery is reachable again.
+/// notified once discovery is reachable again. The other half is for the queue at discovery, its response,
+/// and a second call if one is rejected.
 const MAX_BACKOFF: Micros = Micros(3_000_000);
 /// Maximum backoff as a fraction of the poll interval, for short poll intervals.
 const MAX_BACKOFF_FRACTION: f64 = 1.0 / 2.0;
--- a/src/estimators/token_bucket.rs
+++ b/src/estimators/token_bucket.rs
@@ -3,7 +3,8 @@
 use super::RATE_TIME_CONSTANT;
 use crate::units::{Micros, Time};
 
-/// Burst size: a full bucket holds the tokens that its rate yields in this time.
+/// Burst size: a full bucket holds the tokens that its rate yields in this time, since a client may send
+/// that much at once.
 const BURST: Micros = RATE_TIME_CONSTANT;
 
 /// A token bucket that starts full. Its capacity is what its rate yields in [`BURST`], at least one token.
