Tell by the first read whether a request waited for the accept

What callers would see: beside ten busy loops on eight cores, up to 238 of 300 requests that had waited 0.6 s for the accept were answered too late (up to 1.22 s, 1.0 s allowed), in 9 of 15 runs of the test for deadlines; 36 of them in each had been sent to backends. Without load it never failed.

Cause: a wait counted only if the first byte was read within 40 ms of the accept, and under load more time passes between the accepts of 300 connections and their reads.

Change: the wait counts if the first read of the connection finds data, and extends to that read. If the read finds none, the request has arrived after the accept.

--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -34,9 +34,6 @@
 /// Input or a close that is on its way arrives within it.
 const ARRIVAL_ALLOWANCE: Duration = Duration::from_millis(25);
 
-/// A first byte read within this time after the accept may have arrived before the accept.
-const MAX_QUEUED_READ_DELAY: Duration = Duration::from_millis(40);
-
 /// Times at which hyper read data of a client. Data that was read ahead counts when it is passed to hyper.
 pub struct ReadTimes {
     clock: Clock,
@@ -44,12 +41,26 @@
     first_byte_at: Cell<Option<Time>>,
     /// Time of the last byte; `None` if none was ever read.
     last_byte_at: Cell<Option<Time>>,
+    /// Whether the first read found no data: all data has then arrived after the accept.
+    was_empty_at_first_read: Cell<bool>,
 }
 
 impl ReadTimes {
     /// Creates a record without any reads.
     pub fn new(clock: Clock) -> ReadTimes {
-        ReadTimes { clock, first_byte_at: Cell::default(), last_byte_at: Cell::default() }
+        ReadTimes {
+            clock,
+            first_byte_at: Cell::default(),
+            last_byte_at: Cell::default(),
+            was_empty_at_first_read: Cell::default(),
+        }
+    }
+
+    /// Records that a read found no data.
+    pub fn record_empty_read(&self) {
+        if self.last_byte_at.get().is_none() {
+            self.was_empty_at_first_read.set(true);
+        }
     }
 
     /// Records that bytes were read now.
@@ -184,13 +195,13 @@
         earliest.max(self.opened_at + micros(REQUEST_TIMEOUT))
     }
 
-    /// Returns how long the current request may have waited for its connection to be accepted.
+    /// Returns how long the current request may have waited until its first byte was read, in the listen queue
+    /// or after the accept.
     pub fn accept_delay(&self) -> Micros {
-        let first_byte_at = self.read_times.first_byte_at.get().unwrap_or(self.accepted_at);
-        if self.has_answered.get() || first_byte_at - self.accepted_at > micros(MAX_QUEUED_READ_DELAY) {
+        if self.has_answered.get() || self.read_times.was_empty_at_first_read.get() {
             return Micros(0);
         }
-        self.accepted_at - self.opened_at
+        self.read_times.first_byte_at.get().unwrap_or(self.accepted_at) - self.opened_at
     }
 
     /// Returns when and how the connection is closed unless its state changes. `None` while a request is
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -146,8 +146,10 @@
         // Reads from the stream if no byte was read ahead; otherwise passes the read-ahead bytes to hyper.
         if socket.read_ahead.is_empty() && !socket.is_truncated {
             let read = Pin::new(&mut socket.io).poll_read(cx, buffer);
-            if matches!(read, Poll::Ready(Ok(()))) {
-                socket.read_times.record_read();
+            match read {
+                Poll::Ready(Ok(())) => socket.read_times.record_read(),
+                Poll::Ready(Err(_)) => {}
+                Poll::Pending => socket.read_times.record_empty_read(),
             }
             return read;
         }
--- a/tests/proxy/listen_queue.rs
+++ b/tests/proxy/listen_queue.rs
@@ -17,6 +17,7 @@
 const BACKENDS: usize = 9;
 /// Time after its deadline by which a request must have its response.
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(500);
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(400);
 const SERVICE_TIME: Duration = Duration::from_millis(50);
 /// How long a connection waits to be accepted while accepts fail.
 const FAILED_ACCEPTS_TIME: Duration = Duration::from_millis(600);
@@ -60,12 +61,14 @@
     }
 }
 
-/// Asserts that every request was answered before its deadline, and that nine in ten were served. The
-/// balancer rejects single requests at random while it starts.
+/// Asserts that every request was served before its deadline.
 fn assert_served(answers: &[Answer], time_left: Duration, case: &str) {
-    let served = answers.iter().filter(|answer| answer.status == Some(200)).count();
-    let all_in_time = answers.iter().all(|answer| answer.status.is_some() && answer.after <= time_left);
-    assert!(all_in_time && served * 10 >= answers.len() * 9, "{case}, {time_left:?} left: {answers:?}");
+    for answer in answers {
+        assert!(
+            answer.status == Some(200) && answer.after <= time_left,
+            "{case}, {time_left:?} left: {answers:?}"
+        );
+    }
 }
 
 /// A proxy and its environment.
@@ -91,6 +94,10 @@
         let discovery = Discovery::start();
         let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
         config["limits"]["sockets"] = json!(descriptors);
+        for class in config["settings"]["profiles"].as_array_mut().unwrap() {
+            // The balancer rejects requests with less time left than it assumes a class to need.
+            class["aim_us"] = json!(LATENCY_OBJECTIVE.as_micros() as u64);
+        }
         let faults = Faults::none();
         let proxy = ProxyProcess::spawn_with_faults(&faults, &config);
         wait_until("the proxy to be ready", || proxy.readiness_status() == 200);
