Copy request bodies out of hyper's read buffers, one buffer for each body

Cause: a body was collected as the list of hyper's frames, one for each read of the socket or chunk. Each frame keeps alive the read buffer of 8 KiB in which it arrived. The limit of 64 KiB counted only content.

Evidence, on the program before: four clients with 1,000 pieces each took 16.4 MB of heap for 64 KB of content in pieces of 16 bytes, and as much for 32 KB in pieces of 8: a page (4 KiB) for each piece, whatever its length. The kernel's buffers for TCP did not grow. 60,000 chunks of a byte, sent at once, took 2.1 MB a client: an entry of the list each.

Change: net::body::read copies each frame into one buffer, as long as the stated length or doubled up to the limit, and drops the frame.

--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -13,11 +13,12 @@
 use crate::messages::{DispatcherMessage, FinalResponse, ReceivedRequest};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::Request;
+use load_balancer::net::body::{self, BodyError};
 use load_balancer::{Micros, RequestId, Time};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -71,9 +72,6 @@
         let time_before_read = self.stall_detector.unobserved_time();
         let (head, body) = request.into_parts();
         let mut parsed = ParsedRequest::parse(&self.settings.borrow(), &head, body.size_hint().exact())?;
-        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-            return Err(RequestError::BodyTooLarge);
-        }
         let deadline = client.request_read_deadline().min(arrived_at + parsed.time_left);
         let body = self.read_body(body, client, deadline).await?;
         // If the settings were reloaded while the body was read, the request is parsed again: the settings
@@ -87,18 +85,18 @@
     async fn read_body(
         &self, body: Incoming, client: &ClientConnection, deadline: Time,
     ) -> Result<Bytes, RequestError> {
-        let collected = tokio::select! {
+        let read = tokio::select! {
             biased;
-            collected = Limited::new(body, MAX_BODY_BYTES).collect() => collected,
+            read = body::read(body, MAX_BODY_BYTES) => read,
             () = client.request_timed_out.notified() => return Err(RequestError::BodyIncomplete),
             () = tokio::time::sleep_until(self.clock.instant(deadline)) => {
                 return Err(RequestError::BodyIncomplete);
             }
         };
-        match collected {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-            Err(_) => Err(RequestError::InvalidBody),
+        match read {
+            Ok(body) => Ok(body.into()),
+            Err(BodyError::TooLarge { .. }) => Err(RequestError::BodyTooLarge),
+            Err(BodyError::Connection(_)) => Err(RequestError::InvalidBody),
         }
     }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -16,6 +16,7 @@
 mod listen_queue;
 mod logging;
 mod malformed_requests;
+mod memory;
 mod reload;
 mod resource_exhaustion;
 mod slow_clients;
--- a/tests/proxy/support/client.rs
+++ b/tests/proxy/support/client.rs
@@ -30,6 +30,11 @@
         self.stream.get_mut().write_all(text.as_bytes())
     }
 
+    /// Sends each text at once instead of joining small ones.
+    pub fn set_no_delay(&mut self) {
+        self.stream.get_ref().set_nodelay(true).unwrap();
+    }
+
     /// Sets how long [`Client::read_response`] waits for data.
     pub fn set_read_timeout(&mut self, timeout: Duration) {
         self.stream.get_ref().set_read_timeout(Some(timeout)).unwrap();
--- a/tests/proxy/support/proxy_process.rs
+++ b/tests/proxy/support/proxy_process.rs
@@ -105,8 +105,17 @@
 
     /// Returns the resident memory of the process, in KiB.
     pub fn memory_kib(&self) -> u64 {
+        self.status_kib("VmRSS:")
+    }
+
+    /// Returns the largest resident memory that the process has had, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        self.status_kib("VmHWM:")
+    }
+
+    fn status_kib(&self, key: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(key)).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
