Copy response bodies out of hyper's read buffers too

Cause: the pattern of the requests' bodies, in upstream/response.rs: the list of frames kept a read buffer of 8 KiB for each read of the socket, until the attempt ended.

Evidence, on the program before: four answers of 1,000 pieces of 16 bytes took 16.6 MB of heap, 4 KiB a piece; mapped blocks and the kernel's TCP buffers did not grow.

Change: responses are read by net::body::read. A body with a stated length over the limit is malformed at once rather than after 64 KiB.

Result: the two new tests fail on the program before (peaks of 96 and 145 MB) and pass now.

--- a/src/bin/load-balancer-proxy/upstream/response.rs
+++ b/src/bin/load-balancer-proxy/upstream/response.rs
@@ -3,11 +3,12 @@
 use super::attempt::UpstreamResult;
 use crate::headers::{remove_hop_by_hop, MAX_BODY_BYTES, UNPROCESSED};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
+use load_balancer::net::body::{self, BodyError};
 use load_balancer::Outcome;
 use std::error::Error;
 use std::io;
@@ -33,23 +34,20 @@
     }
 }
 
-impl ExchangeError {
-    /// Classifies an error of reading the body: the body exceeds the size limit or has invalid framing, or
-    /// the connection failed.
-    fn from_body_error(error: &(dyn Error + 'static)) -> ExchangeError {
-        let mut causes = std::iter::successors(Some(error), |error| (*error).source());
-        if causes.any(is_malformed_body) {
-            ExchangeError::MalformedResponse
-        } else {
-            ExchangeError::ConnectionBroken
+impl From<BodyError> for ExchangeError {
+    fn from(error: BodyError) -> ExchangeError {
+        match error {
+            BodyError::Connection(error) if !has_invalid_framing(&error) => ExchangeError::ConnectionBroken,
+            BodyError::Connection(_) | BodyError::TooLarge { .. } => ExchangeError::MalformedResponse,
         }
     }
 }
 
-fn is_malformed_body(cause: &(dyn Error + 'static)) -> bool {
-    let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
-    let has_invalid_framing = matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput));
-    has_invalid_framing || cause.is::<LengthLimitError>()
+/// Returns whether an error of reading a body was caused by its framing.
+fn has_invalid_framing(error: &hyper::Error) -> bool {
+    let causes = std::iter::successors(error.source(), |cause| (*cause).source());
+    let mut kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>()).map(io::Error::kind);
+    kinds.any(|kind| matches!(kind, io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
 }
 
 /// Sends the request and reads the complete response, so that a truncated response never reaches the client.
@@ -57,9 +55,8 @@
     sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
 ) -> Result<UpstreamResult, ExchangeError> {
     let (head, body) = sender.send_request(request).await?.into_parts();
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = collected.map_err(|error| ExchangeError::from_body_error(&*error))?;
-    classify(head, body.to_bytes())
+    let body = body::read(body, MAX_BODY_BYTES).await?;
+    classify(head, body.into())
 }
 
 /// Returns the result of an attempt that received a complete response.
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -2,11 +2,10 @@
 //! that the platform gives to a proxy.
 
 use crate::support::{
-    config, ok_response, ready_endpoints, request, Backend, Client, Discovery, ProxyProcess,
+    config, ok_response, ready_endpoints, request, Backend, Client, Discovery, Message, ProxyProcess, Reply,
 };
 use serde_json::json;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 /// Memory limit of the proxy, beyond which the platform kills it.
 const MEMORY_LIMIT_MB: u64 = 32;
@@ -16,8 +15,6 @@
 const MAX_BODY_BYTES: usize = 65_536;
 /// Length of the pieces in which a slow peer sends a message, in bytes.
 const PIECE_BYTES: usize = 16;
-/// Pause between two pieces.
-const PIECE_PAUSE: Duration = Duration::from_micros(400);
 const ONE_BYTE_CHUNK: &str = "1\r\nx\r\n";
 /// Number of chunks of one byte that a slow peer sends.
 const CHUNKS: usize = 3500;
@@ -46,11 +43,7 @@
     let address = proxy.address;
     std::thread::spawn(move || {
         let mut client = Client::open(address);
-        client.set_no_delay();
-        for piece in text.as_bytes().chunks(piece_bytes) {
-            client.send(std::str::from_utf8(piece).unwrap());
-            std::thread::sleep(PIECE_PAUSE);
-        }
+        client.send_in_pieces(&text, piece_bytes);
         client.read_response().map(|response| response.status())
     })
 }
@@ -79,3 +72,43 @@
     assert_eq!(statuses, [Some(200); 16]);
     assert_memory_is_within_limit(&proxy);
 }
+
+/// Sends requests concurrently, each on a new connection; returns the responses.
+fn send_concurrently(proxy: &ProxyProcess, text: &str, count: usize) -> Vec<Option<Message>> {
+    let mut clients: Vec<_> = (0..count).map(|_| Client::open(proxy.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(text));
+    clients.iter_mut().map(Client::read_response).collect()
+}
+
+/// Guards against a read buffer that is kept for each piece of a response's body.
+#[test]
+fn long_responses_in_small_pieces_are_served_within_the_memory_limit() {
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n{}", "x".repeat(50_000));
+    let start = |_| {
+        let text = text.clone();
+        Backend::start(move |_| Reply::SendInPieces(text.clone(), PIECE_BYTES))
+    };
+    let backends: Vec<_> = (0..16).map(start).collect();
+    let (proxy, _discovery) = start_proxy(&backends);
+    for response in send_concurrently(&proxy, &request("pay", 7000), 16) {
+        let response = response.expect("a complete response");
+        assert_eq!((response.status(), response.body.len()), (200, 50_000));
+    }
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against memory that grows with each piece of a response that never ends.
+#[test]
+fn responses_that_never_end_are_given_up_within_the_memory_limit() {
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(59_000));
+    let start = |_| {
+        let text = text.clone();
+        Backend::start(move |_| Reply::SendInPieces(text.clone(), PIECE_BYTES))
+    };
+    let backends: Vec<_> = (0..16).map(start).collect();
+    let (proxy, _discovery) = start_proxy(&backends);
+    for response in send_concurrently(&proxy, &request("pay", 3000), 16) {
+        assert_eq!(response.map(|response| response.status()), Some(502));
+    }
+    assert_memory_is_within_limit(&proxy);
+}
--- a/tests/proxy/support/client.rs
+++ b/tests/proxy/support/client.rs
@@ -1,6 +1,6 @@
 //! A client of the proxy on loopback.
 
-use super::{read_message, request, Message, ProxyProcess, FAILURE_TIMEOUT};
+use super::{read_message, request, write_in_pieces, Message, ProxyProcess, FAILURE_TIMEOUT};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -30,9 +30,9 @@
         self.stream.get_mut().write_all(text.as_bytes())
     }
 
-    /// Sends each text at once instead of joining small ones.
-    pub fn set_no_delay(&mut self) {
-        self.stream.get_ref().set_nodelay(true).unwrap();
+    /// Sends the text in pieces of this many bytes, with a short pause between them.
+    pub fn send_in_pieces(&mut self, text: &str, piece_bytes: usize) {
+        write_in_pieces(self.stream.get_mut(), text, piece_bytes);
     }
 
     /// Sets how long [`Client::read_response`] waits for data.
--- a/tests/proxy/support/http.rs
+++ b/tests/proxy/support/http.rs
@@ -69,6 +69,9 @@
     SendAndClose(String),
     /// Writes the text and resets the connection.
     SendAndReset(String),
+    /// Writes the text in pieces of this many bytes, with a short pause between them, and keeps the connection
+    /// open.
+    SendInPieces(String, usize),
     /// Writes nothing and keeps the connection open.
     NoResponse,
 }
@@ -87,6 +90,10 @@
             Reply::Send(text) => (text, None),
             Reply::SendAndClose(text) => (text, Some(ConnectionEnd::Close)),
             Reply::SendAndReset(text) => (text, Some(ConnectionEnd::Reset)),
+            Reply::SendInPieces(text, piece_bytes) => {
+                write_in_pieces(stream, &text, piece_bytes);
+                return true;
+            }
             Reply::NoResponse => return true,
         };
         let _ = stream.write_all(text.as_bytes());
@@ -101,6 +108,21 @@
     }
 }
 
+/// Pause between two pieces of a message.
+const PIECE_PAUSE: Duration = Duration::from_micros(400);
+
+/// Writes a text in pieces of this many bytes, each in a segment of its own. Stops at an error, because the proxy
+/// may have closed the connection.
+pub fn write_in_pieces(stream: &mut TcpStream, text: &str, piece_bytes: usize) {
+    let _ = stream.set_nodelay(true);
+    for piece in text.as_bytes().chunks(piece_bytes) {
+        if stream.write_all(piece).is_err() {
+            return;
+        }
+        std::thread::sleep(PIECE_PAUSE);
+    }
+}
+
 /// Returns a 200 response with this body.
 pub fn ok_response(body: &str) -> Reply {
     Reply::Send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -18,7 +18,7 @@
 pub use connecting_clients::ConnectingClients;
 pub use discovery::Discovery;
 pub use faults::Faults;
-pub use http::{ok_response, read_message, request, Message, Reply, PAY_WITH_PARTIAL_BODY};
+pub use http::{ok_response, read_message, request, write_in_pieces, Message, Reply, PAY_WITH_PARTIAL_BODY};
 pub use proxy_process::{start_proxy_for, ProxyProcess};
 pub use reserved_port::{refusing_address, ReservedPort};
 pub use settings::{
