Limit the head of a request to 8 KiB and keep nothing sent after the last response

Cause: hyper's default limit of 408 KiB for an incomplete head, on each of 104 connections at once. While a connection lingers after its last response, up to 128 KiB more were kept as if they were read ahead.

Evidence, on the program before: 40 such clients took 15.7 MB of mapped blocks, the bytes that they had sent, and 0.8 MB of heap; the kernel's TCP buffers did not grow.

Change: hyper's read buffer, a head and trailers have at most 8 KiB; a longer head gets 431 at once. A lingering connection discards what it reads.

--- a/src/bin/load-balancer-proxy/headers.rs
+++ b/src/bin/load-balancer-proxy/headers.rs
@@ -1,4 +1,4 @@
-//! Header fields and body limit of the platform's protocol, and removal of the fields that a proxy must not
+//! Header fields of the platform's protocol, limits on the size of messages, and removal of the fields that a proxy must not
 //! forward.
 
 use hyper::header::{
@@ -22,6 +22,9 @@
 /// `1` in a response if the backend did not execute the request.
 pub const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
+/// Maximum length of the head of a request or response, and of the trailers behind its body, in bytes. Also the
+/// size of the buffer into which a connection reads.
+pub const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum length of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
 
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -87,7 +87,7 @@
     }
 
     /// Ends the connection after its last response: shuts down the sending side and reads up to the end of
-    /// the client's stream. Closing a socket with unread bytes resets the connection, and the client may lose
+    /// the client's stream, without keeping what it reads. Closing a socket with unread bytes resets the connection, and the client may lose
     /// the response. Does nothing if no response was written.
     pub async fn lingering_close(&self, last_response: LastResponse) {
         if !self.0.borrow().has_written {
@@ -100,7 +100,7 @@
         let end = async {
             let shutdown = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().io).poll_shutdown(cx)).await;
             if shutdown.is_ok() {
-                poll_fn(|cx| self.poll_disconnected(cx)).await;
+                poll_fn(|cx| self.poll_discard(cx)).await;
             }
         };
         let _ = tokio::time::timeout(timeout, end).await;
@@ -140,6 +140,21 @@
     }
 }
 
+impl ClientSocket {
+    /// Reads and discards. Ready once the client has reset the connection or closed it, at least for sending.
+    fn poll_discard(&self, cx: &mut Context) -> Poll<()> {
+        let socket = &mut *self.0.borrow_mut();
+        loop {
+            let mut buffer = [0; READ_BUFFER_BYTES];
+            let mut read = ReadBuf::new(&mut buffer);
+            let result = ready!(Pin::new(socket.io.inner_mut()).poll_read(cx, &mut read));
+            if result.is_err() || read.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+    }
+}
+
 impl Read for ClientSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buffer: ReadBufCursor) -> Poll<io::Result<()>> {
         let socket = &mut *self.0.borrow_mut();
--- a/src/bin/load-balancer-proxy/server/connection_task.rs
+++ b/src/bin/load-balancer-proxy/server/connection_task.rs
@@ -5,6 +5,7 @@
 use super::listener::Accepted;
 use super::Server;
 use crate::clock::micros;
+use crate::headers::MAX_HEAD_BYTES;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
@@ -84,6 +85,7 @@
         let service = service_fn(|request| self.handle_request(request, client));
         let mut http = http1::Builder::new();
         http.timer(TokioTimer::new()).header_read_timeout(None);
+        http.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
         let socket = ClientSocket::new(stream, client.read_times.clone());
         let connection = http.serve_connection(socket.clone(), service);
         tokio::pin!(connection);
