--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,10 +1,11 @@
 //! HTTP client for discovery, with one connection that is opened on demand and reused.
 
+use crate::net::body::{self, BodyError};
 use crate::net::connect::{connect, ConnectError};
 use crate::wire::endpoint_list::EndpointList;
 use crate::wire::WireError;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -15,6 +16,9 @@
 /// Longest response body that is read, enough for thousands of endpoints.
 const MAX_LIST_BYTES: usize = 4 << 20;
 
+/// Size of the read buffer, in bytes; also limits the head of a response.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a call to discovery returned no endpoint list.
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
@@ -29,7 +33,7 @@
     Connection(#[from] hyper::Error),
     /// The response body is truncated or too long.
     #[error("cannot read the response of discovery: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     /// The response status is not 200.
     #[error("discovery answered with status {0}")]
     Status(StatusCode),
@@ -95,7 +99,8 @@
                 Err(error) => return Err(DiscoveryError::Connect(error)),
             }
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "discovery connection failed");
@@ -109,8 +114,7 @@
         let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::new())?;
         let response = self.sender.send_request(request).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
-        let body = body.map_err(DiscoveryError::Body)?.to_bytes();
+        let body = body::read(response.into_body(), MAX_LIST_BYTES).await?;
         if status != StatusCode::OK {
             return Err(DiscoveryError::Status(status));
         }
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -2,8 +2,8 @@
 //! that the platform gives to a proxy.
 
 use crate::support::{
-    config, ok_response, ready_endpoints, request, send_request, Backend, Client, Discovery, Message,
-    ProxyProcess, Reply,
+    config, endpoint, ok_response, ready_endpoints, refusing_address, request, send_request, Backend, Client,
+    Discovery, Message, ProxyProcess, Reply,
 };
 use serde_json::json;
 use std::thread::JoinHandle;
@@ -57,6 +57,36 @@
     })
 }
 
+/// Sends requests concurrently, each on a new connection; returns the responses.
+fn send_concurrently(proxy: &ProxyProcess, text: &str, count: usize) -> Vec<Option<Message>> {
+    let mut clients: Vec<_> = (0..count).map(|_| Client::open(proxy.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(text));
+    clients.iter_mut().map(Client::read_response).collect()
+}
+
+/// Sends requests one after the other, each on a new connection, and expects that they are served.
+fn assert_requests_are_served(proxy: &ProxyProcess, count: usize) {
+    for _ in 0..count {
+        assert_eq!(send_request(proxy, &request("read", 1200)).status(), 200);
+    }
+}
+
+/// Starts backends that reply to each request with this text, in pieces of this many bytes.
+fn start_backends(count: usize, text: &str, piece_bytes: usize) -> Vec<Backend> {
+    let start = |_| {
+        let text = text.to_string();
+        Backend::start(move |_| Reply::SendInPieces(text.clone(), piece_bytes))
+    };
+    (0..count).map(start).collect()
+}
+
+/// Sends requests that no backend answers completely; expects that each of them fails.
+fn assert_requests_fail(proxy: &ProxyProcess, time_left_ms: u64, count: usize) {
+    for response in send_concurrently(proxy, &request("pay", time_left_ms), count) {
+        assert_eq!(response.map(|response| response.status()), Some(502));
+    }
+}
+
 /// Guards against a read buffer that is kept for each piece of a request's body.
 #[test]
 fn long_requests_in_small_pieces_are_served_within_the_memory_limit() {
@@ -82,23 +112,11 @@
     assert_memory_is_within_limit(&proxy);
 }
 
-/// Sends requests concurrently, each on a new connection; returns the responses.
-fn send_concurrently(proxy: &ProxyProcess, text: &str, count: usize) -> Vec<Option<Message>> {
-    let mut clients: Vec<_> = (0..count).map(|_| Client::open(proxy.address)).collect();
-    clients.iter_mut().for_each(|client| client.send(text));
-    clients.iter_mut().map(Client::read_response).collect()
-}
-
 /// Guards against a read buffer that is kept for each piece of a response's body.
 #[test]
 fn long_responses_in_small_pieces_are_served_within_the_memory_limit() {
     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n{}", "x".repeat(50_000));
-    let start = |_| {
-        let text = text.clone();
-        Backend::start(move |_| Reply::SendInPieces(text.clone(), PIECE_BYTES))
-    };
-    let backends: Vec<_> = (0..16).map(start).collect();
-    let (proxy, _discovery) = start_proxy(&backends);
+    let (proxy, _discovery) = start_proxy(&start_backends(16, &text, PIECE_BYTES));
     for response in send_concurrently(&proxy, &request("pay", 7000), 16) {
         let response = response.expect("a complete response");
         assert_eq!((response.status(), response.body.len()), (200, 50_000));
@@ -110,25 +128,11 @@
 #[test]
 fn responses_that_never_end_are_given_up_within_the_memory_limit() {
     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(59_000));
-    let start = |_| {
-        let text = text.clone();
-        Backend::start(move |_| Reply::SendInPieces(text.clone(), PIECE_BYTES))
-    };
-    let backends: Vec<_> = (0..16).map(start).collect();
-    let (proxy, _discovery) = start_proxy(&backends);
-    for response in send_concurrently(&proxy, &request("pay", 3000), 16) {
-        assert_eq!(response.map(|response| response.status()), Some(502));
-    }
+    let (proxy, _discovery) = start_proxy(&start_backends(16, &text, PIECE_BYTES));
+    assert_requests_fail(&proxy, 3000, 16);
     assert_memory_is_within_limit(&proxy);
 }
 
-/// Sends requests one after the other, each on a new connection, and expects that they are served.
-fn assert_requests_are_served(proxy: &ProxyProcess, count: usize) {
-    for _ in 0..count {
-        assert_eq!(send_request(proxy, &request("read", 1200)).status(), 200);
-    }
-}
-
 /// Guards against clients that stop in a long head and stay, each with all the bytes that it has sent.
 #[test]
 fn clients_that_stop_in_a_long_head_get_an_error_within_the_memory_limit() {
@@ -158,3 +162,53 @@
     let longer = request_head("read", 1200) + &facts.repeat(2).replacen("\r\n\r\n", "\r\n", 1);
     assert_eq!(send_request(&proxy, &longer).status(), 431);
 }
+
+/// Guards against responses whose heads never end, each with all the bytes that its backend has sent.
+#[test]
+fn long_heads_of_responses_are_malformed_within_the_memory_limit() {
+    let text = format!("HTTP/1.1 200 OK\r\nX-Facts: {}", "x".repeat(400_000));
+    let (proxy, _discovery) = start_proxy(&start_backends(DESCRIPTOR_LIMIT / 6, &text, text.len()));
+    assert_requests_fail(&proxy, 3000, DESCRIPTOR_LIMIT / 3);
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against interim responses that are kept until the final one.
+#[test]
+fn interim_responses_without_end_take_no_memory() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    let (proxy, _discovery) = start_proxy(&start_backends(16, &interim.repeat(4000), interim.len()));
+    assert_requests_fail(&proxy, 1500, 16);
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against trailers that are kept without a limit, in requests and in responses.
+#[test]
+fn long_trailers_are_malformed_within_the_memory_limit() {
+    let trailers = format!("1\r\nx\r\n0\r\nX-Facts: {}", "x".repeat(400_000));
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{trailers}");
+    let (proxy, _discovery) = start_proxy(&start_backends(DESCRIPTOR_LIMIT / 6, &text, text.len()));
+    assert_requests_fail(&proxy, 3000, DESCRIPTOR_LIMIT / 3);
+    let head = request("pay", 3000).replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    for response in send_concurrently(&proxy, &head.replace("body", &trailers), DESCRIPTOR_LIMIT / 3) {
+        assert_eq!(response.map(|response| response.status()), Some(400));
+    }
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against a read buffer that is kept for each piece of an endpoint list.
+#[test]
+fn a_list_in_small_pieces_is_applied_within_the_memory_limit() {
+    let backend = Backend::start(|_| ok_response("listed"));
+    let (proxy, discovery) = start_proxy(&[Backend::start(|_| ok_response("cached"))]);
+    let unreachable =
+        (0..99).map(|number| endpoint(&format!("u{number}"), refusing_address(), "draining", 0));
+    let ready = std::iter::once(endpoint("a", backend.address, "ready", 0));
+    let endpoints: Vec<_> = unreachable.chain(ready).collect();
+    let list = json!({"index": 1, "snapshot": true, "endpoints": endpoints}).to_string();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+    discovery.respond(Reply::SendInPieces(text, PIECE_BYTES));
+    for _ in 0..5 {
+        assert_eq!(send_request(&proxy, &request("read", 1200)).body, b"listed");
+    }
+    assert_memory_is_within_limit(&proxy);
+}
