Reserve memory for reading ahead from a budget that all connections share

What callers would see: while its request awaits its response, each connection reads up to 128 KiB ahead. With 256 descriptors that is 13 MB beside the bodies. The longest requests on all connections, with more sent at once behind each and the longest incomplete response to each, took 50.3 MB where 32 are allowed.

Change: a connection may always read 4 KiB ahead, and beyond that what it reserves from a budget of a sixteenth of limits.memory_mb, which the proxy reads now (optional; a restart-only key). A connection without a reservation leaves further bytes in the kernel instead of dropping them, and asks the runtime every 25 ms whether the client has closed. The buffer is freed when it is empty.

A third of the descriptors with bodies of 64 KiB both ways, beside 16 stalled clients: all served.

--- a/src/bin/load-balancer-proxy/config.rs
+++ b/src/bin/load-balancer-proxy/config.rs
@@ -48,6 +48,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may have open.
     pub max_file_descriptors: usize,
+    /// Memory that the process may use, in megabytes; `None` if it has no limit.
+    pub memory_limit_mb: Option<f64>,
     /// The last endpoint list that this proxy had before the start, if any.
     pub cached_list: Option<EndpointList>,
     /// The settings that a reload may change.
@@ -96,6 +98,7 @@
             discovery: document.discovery,
             seed: document.seed,
             max_file_descriptors: document.max_file_descriptors as usize,
+            memory_limit_mb: document.memory_limit_mb,
             cached_list: document.cached_list,
             settings: Arc::new(Settings::from(document.settings)),
         }
--- a/src/bin/load-balancer-proxy/main.rs
+++ b/src/bin/load-balancer-proxy/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod dispatcher;
 mod headers;
+mod memory;
 mod messages;
 mod reload;
 mod server;
--- a/src/bin/load-balancer-proxy/reload/restart_only.rs
+++ b/src/bin/load-balancer-proxy/reload/restart_only.rs
@@ -10,6 +10,7 @@
     listen: SocketAddr,
     seed: u64,
     max_file_descriptors: usize,
+    memory_limit_mb: Option<f64>,
     /// Whether the endpoint list is subscribed to, rather than pushed.
     is_subscribed: bool,
 }
@@ -29,6 +30,7 @@
             listen: config.listen,
             seed: config.seed,
             max_file_descriptors: config.max_file_descriptors,
+            memory_limit_mb: config.memory_limit_mb,
             is_subscribed: is_subscribed(config.settings.balancer.discovery),
         }
     }
@@ -51,6 +53,12 @@
         if self.max_file_descriptors != other.max_file_descriptors {
             keep("limits.sockets", self.max_file_descriptors.to_string());
         }
+        if self.memory_limit_mb != other.memory_limit_mb {
+            keep(
+                "limits.memory_mb",
+                self.memory_limit_mb.map_or("none".to_string(), |limit| limit.to_string()),
+            );
+        }
         if self.is_subscribed != other.is_subscribed {
             let mode = if self.is_subscribed { "subscribe" } else { "automatic" };
             keep("settings.discovery", mode.to_string());
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -5,25 +5,26 @@
 //! its response, it stops reading. It then does not see the end of the stream.
 
 use super::client_connection::ReadTimes;
-use crate::headers::MAX_BODY_BYTES;
-use bytes::{Buf, BytesMut};
+use super::read_ahead::{ReadAhead, Room, STEP_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::RefCell;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::{self, Read as _};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
-/// Maximum number of bytes that are read ahead and buffered, more than a valid request has. Further bytes are
-/// still read, to detect the end of the stream, but dropped.
-const MAX_READ_AHEAD_BYTES: usize = 2 * MAX_BODY_BYTES;
-const READ_BUFFER_BYTES: usize = 4096;
+/// Number of steps after which [`ClientSocket::is_disconnected`] leaves the rest to the next poll.
+const MAX_IMMEDIATE_READS: usize = 32;
+/// While there is no memory for reading ahead, the end of the stream is checked for in this interval. No attempt may
+/// begin later than 0.1 s after its client has left.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// How long to wait for the end of a client's stream after the last response. A client closes the connection
 /// once it has read that response; a peer that does not close it occupies a descriptor for this long.
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,34 +47,47 @@
 
 struct Socket {
     io: TokioIo<TcpStream>,
-    /// Bytes that were read ahead and not passed to hyper yet.
-    read_ahead: BytesMut,
-    /// Whether bytes were dropped because the buffer was full. All later bytes are then dropped too.
-    is_truncated: bool,
+    read_ahead: ReadAhead,
+    /// When to check for the end of the stream next; `None` while the connection reads ahead.
+    next_end_check: Option<Pin<Box<Sleep>>>,
     has_written: bool,
     read_times: Rc<ReadTimes>,
 }
 
 impl Socket {
-    fn buffer(&mut self, bytes: &[u8]) {
-        self.is_truncated |= self.read_ahead.len() + bytes.len() > MAX_READ_AHEAD_BYTES;
-        if !self.is_truncated {
-            self.read_ahead.extend_from_slice(bytes);
+    /// Ready once the client has closed the connection, at least for sending, or reset it, although the bytes before
+    /// the end are not read. Also ready, with `false`, when the connection may try to read ahead again.
+    fn poll_end_without_reading(&mut self, cx: &mut Context) -> Poll<bool> {
+        if is_read_closed(self.io.inner()) {
+            return Poll::Ready(true);
         }
+        let next_check =
+            self.next_end_check.get_or_insert_with(|| Box::pin(tokio::time::sleep(END_CHECK_INTERVAL)));
+        ready!(next_check.as_mut().poll(cx));
+        self.next_end_check = None;
+        Poll::Ready(false)
     }
 }
 
+/// Returns whether the runtime was notified that the peer has closed the connection, at least for sending, or reset
+/// it.
+fn is_read_closed(stream: &TcpStream) -> bool {
+    let readiness = pin!(stream.ready(Interest::READABLE));
+    let readiness = readiness.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
 /// A client's socket, shared by hyper and the connection's task.
 #[derive(Clone)]
 pub struct ClientSocket(Rc<RefCell<Socket>>);
 
 impl ClientSocket {
     /// Wraps a connected stream; reads by hyper are recorded in `read_times`.
-    pub fn new(stream: TcpStream, read_times: Rc<ReadTimes>) -> ClientSocket {
+    pub(super) fn new(stream: TcpStream, read_ahead: ReadAhead, read_times: Rc<ReadTimes>) -> ClientSocket {
         ClientSocket(Rc::new(RefCell::new(Socket {
             io: TokioIo::new(stream),
-            read_ahead: BytesMut::new(),
-            is_truncated: false,
+            read_ahead,
+            next_end_check: None,
             has_written: false,
             read_times,
         })))
@@ -110,12 +124,15 @@
     /// client has closed the connection, at least for sending, or reset it.
     pub fn is_disconnected(&self) -> bool {
         let socket = &mut *self.0.borrow_mut();
-        for _ in 0..MAX_READ_AHEAD_BYTES / READ_BUFFER_BYTES {
-            let mut buffer = [0; READ_BUFFER_BYTES];
-            let read = (&*SockRef::from(socket.io.inner())).read(&mut buffer);
+        for _ in 0..MAX_IMMEDIATE_READS {
+            let mut buffer = [0; STEP_BYTES];
+            let Some(length) = readable_length(&mut socket.read_ahead) else {
+                return is_read_closed(socket.io.inner());
+            };
+            let read = (&*SockRef::from(socket.io.inner())).read(&mut buffer[..length]);
             match read {
                 Ok(0) => return true,
-                Ok(length) => socket.buffer(&buffer[..length]),
+                Ok(length) => socket.read_ahead.push(&buffer[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return true,
@@ -129,23 +146,27 @@
     pub fn poll_disconnected(&self, cx: &mut Context) -> Poll<()> {
         let socket = &mut *self.0.borrow_mut();
         loop {
-            let mut buffer = [0; READ_BUFFER_BYTES];
-            let mut read = ReadBuf::new(&mut buffer);
+            let mut buffer = [0; STEP_BYTES];
+            let Some(length) = readable_length(&mut socket.read_ahead) else {
+                if ready!(socket.poll_end_without_reading(cx)) {
+                    return Poll::Ready(());
+                }
+                continue;
+            };
+            let mut read = ReadBuf::new(&mut buffer[..length]);
             let result = ready!(Pin::new(socket.io.inner_mut()).poll_read(cx, &mut read));
             if result.is_err() || read.filled().is_empty() {
                 return Poll::Ready(());
             }
-            socket.buffer(read.filled());
+            socket.read_ahead.push(read.filled());
         }
     }
-}
 
-impl ClientSocket {
     /// Reads and discards. Ready once the client has reset the connection or closed it, at least for sending.
     fn poll_discard(&self, cx: &mut Context) -> Poll<()> {
         let socket = &mut *self.0.borrow_mut();
         loop {
-            let mut buffer = [0; READ_BUFFER_BYTES];
+            let mut buffer = [0; STEP_BYTES];
             let mut read = ReadBuf::new(&mut buffer);
             let result = ready!(Pin::new(socket.io.inner_mut()).poll_read(cx, &mut read));
             if result.is_err() || read.filled().is_empty() {
@@ -155,11 +176,20 @@
     }
 }
 
+/// Returns how many bytes may be read at once; `None` if there is no memory for reading ahead.
+fn readable_length(read_ahead: &mut ReadAhead) -> Option<usize> {
+    match read_ahead.room() {
+        Room::Bytes(count) => Some(count.min(STEP_BYTES)),
+        Room::Dropping => Some(STEP_BYTES),
+        Room::OutOfMemory => None,
+    }
+}
+
 impl Read for ClientSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buffer: ReadBufCursor) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: ReadBufCursor) -> Poll<io::Result<()>> {
         let socket = &mut *self.0.borrow_mut();
         // Reads from the stream if no byte was read ahead; otherwise passes the read-ahead bytes to hyper.
-        if socket.read_ahead.is_empty() && !socket.is_truncated {
+        if socket.read_ahead.is_empty() && !socket.read_ahead.is_truncated() {
             let read = Pin::new(&mut socket.io).poll_read(cx, buffer);
             match read {
                 Poll::Ready(Ok(())) => socket.read_times.record_read(),
@@ -173,9 +203,7 @@
         }
         // If bytes were dropped, hyper gets 0 bytes once the buffer is empty. It takes that for the end of
         // the stream and closes the connection after the current response.
-        let length = socket.read_ahead.len().min(buffer.remaining());
-        buffer.put_slice(&socket.read_ahead[..length]);
-        socket.read_ahead.advance(length);
+        socket.read_ahead.take_into(buffer);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/bin/load-balancer-proxy/server/connection_task.rs
+++ b/src/bin/load-balancer-proxy/server/connection_task.rs
@@ -3,6 +3,7 @@
 use super::client_connection::{ClientConnection, CloseMode};
 use super::client_socket::{ClientSocket, LastResponse};
 use super::listener::Accepted;
+use super::read_ahead::ReadAhead;
 use super::Server;
 use crate::clock::micros;
 use crate::headers::MAX_HEAD_BYTES;
@@ -86,7 +87,8 @@
         let mut http = http1::Builder::new();
         http.timer(TokioTimer::new()).header_read_timeout(None);
         http.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
-        let socket = ClientSocket::new(stream, client.read_times.clone());
+        let read_ahead = ReadAhead::new(self.memory.read_ahead.clone());
+        let socket = ClientSocket::new(stream, read_ahead, client.read_times.clone());
         let connection = http.serve_connection(socket.clone(), service);
         tokio::pin!(connection);
         // Polled after `connection`, which runs the request handler that sets `is_awaiting_response`.
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -4,7 +4,7 @@
 //! | concern | module |
 //! | --- | --- |
 //! | accepting, and limits on open connections | `listener`, `capacity`, `inactivity` |
-//! | one connection | `connection_task`, `client_connection`, `client_socket` |
+//! | one connection | `connection_task`, `client_connection`, `client_socket`, `read_ahead` |
 //! | one request | `request_handler`, `request_parsing`, `request_error`, `disconnect_guard`, `responses` |
 //! | readiness probe | `readiness` |
 //! | graceful shutdown | `graceful_shutdown` |
@@ -17,6 +17,7 @@
 mod graceful_shutdown;
 mod inactivity;
 mod listener;
+mod read_ahead;
 mod readiness;
 mod request_error;
 mod request_handler;
@@ -25,6 +26,7 @@
 
 use crate::clock::Clock;
 use crate::config::Settings;
+use crate::memory::MemoryBudget;
 use crate::messages::{DispatcherMessage, ServingStatus};
 use crate::stall_detector::StallDetector;
 use capacity::Capacity;
@@ -50,6 +52,8 @@
     pub dispatcher: mpsc::UnboundedSender<DispatcherMessage>,
     /// State of the dispatcher, for the readiness probe.
     pub status: Rc<ServingStatus>,
+    /// Memory for the messages of all connections.
+    pub memory: MemoryBudget,
 }
 
 /// The server, shared by the tasks of all client connections.
@@ -60,6 +64,7 @@
     /// borrow is held across an await point.
     settings: RefCell<Arc<Settings>>,
     capacity: Capacity,
+    memory: MemoryBudget,
     dispatcher: mpsc::UnboundedSender<DispatcherMessage>,
     status: Rc<ServingStatus>,
     /// Id that was assigned last, to a connection or a request.
@@ -74,12 +79,13 @@
 impl Server {
     /// Creates a server that keeps at most `max_connections` client connections open at once.
     pub fn new(handles: ServerHandles, settings: Arc<Settings>, max_connections: usize) -> Server {
-        let ServerHandles { clock, stall_detector, dispatcher, status } = handles;
+        let ServerHandles { clock, stall_detector, dispatcher, status, memory } = handles;
         Server {
             clock,
             stall_detector,
             settings: RefCell::new(settings),
             capacity: Capacity::new(max_connections),
+            memory,
             dispatcher,
             status,
             last_id: Cell::new(0),
--- /dev/null
+++ b/src/bin/load-balancer-proxy/server/read_ahead.rs
@@ -0,0 +1,100 @@
+//! Bytes that were read from a client while its request awaits its response, and are not passed to hyper yet.
+
+use hyper::rt::ReadBufCursor;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Bytes that every connection may read ahead; also the step in which more memory is reserved.
+pub(super) const STEP_BYTES: usize = 4 << 10;
+/// Maximum number of bytes of a connection that are read ahead, more than a valid request has.
+const MAX_BYTES: usize = 128 << 10;
+
+/// How a connection may read ahead.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Room {
+    /// This many bytes may be read now.
+    Bytes(usize),
+    /// The connections have no memory left for reading ahead; the bytes have to wait in the kernel.
+    OutOfMemory,
+    /// The connection has read the maximum. Further bytes are read to detect the end of the stream, and dropped.
+    Dropping,
+}
+
+/// Buffer of one connection. Beyond [`STEP_BYTES`], its memory is reserved from a budget that all connections
+/// share.
+pub(super) struct ReadAhead {
+    bytes: VecDeque<u8>,
+    budget: Arc<Semaphore>,
+    reservation: Option<OwnedSemaphorePermit>,
+    /// Whether bytes were dropped. All later bytes are then dropped too.
+    is_truncated: bool,
+}
+
+impl ReadAhead {
+    /// Creates an empty buffer. A permit of `budget` stands for one byte.
+    pub fn new(budget: Arc<Semaphore>) -> ReadAhead {
+        ReadAhead { bytes: VecDeque::new(), budget, reservation: None, is_truncated: false }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Whether bytes were dropped.
+    pub fn is_truncated(&self) -> bool {
+        self.is_truncated
+    }
+
+    /// Returns how many bytes may be read ahead now. Reserves more memory if the buffer is full.
+    pub fn room(&mut self) -> Room {
+        if self.is_truncated || self.bytes.len() >= MAX_BYTES {
+            return Room::Dropping;
+        }
+        if self.bytes.len() == self.reserved_bytes() && !self.reserve_step() {
+            return Room::OutOfMemory;
+        }
+        Room::Bytes(self.reserved_bytes() - self.bytes.len())
+    }
+
+    /// Adds bytes that were read as [`room`](ReadAhead::room) allowed.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.room() == Room::Dropping {
+            self.is_truncated = true;
+            return;
+        }
+        if self.bytes.capacity() < self.bytes.len() + bytes.len() {
+            self.bytes.reserve_exact(self.reserved_bytes() - self.bytes.len());
+        }
+        self.bytes.extend(bytes);
+    }
+
+    /// Passes bytes on to hyper. Frees the memory once the buffer is empty.
+    pub fn take_into(&mut self, mut target: ReadBufCursor) {
+        let (first, _) = self.bytes.as_slices();
+        let length = first.len().min(target.remaining());
+        target.put_slice(&first[..length]);
+        self.bytes.drain(..length);
+        if self.bytes.is_empty() {
+            self.bytes = VecDeque::new();
+            self.reservation = None;
+        }
+    }
+
+    fn reserved_bytes(&self) -> usize {
+        STEP_BYTES + self.reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+
+    /// Reserves memory for another step; returns whether there was any.
+    fn reserve_step(&mut self) -> bool {
+        let Ok(step) = self.budget.clone().try_acquire_many_owned(STEP_BYTES as u32) else { return false };
+        match &mut self.reservation {
+            Some(reservation) => reservation.merge(step),
+            None => self.reservation = Some(step),
+        }
+        true
+    }
+}
--- a/src/bin/load-balancer-proxy/startup.rs
+++ b/src/bin/load-balancer-proxy/startup.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::config::ProxyConfig;
 use crate::dispatcher::{Dispatcher, DispatcherHandles};
+use crate::memory::{ConnectionLimits, MemoryBudget};
 use crate::messages::{DispatcherMessage, ServingStatus};
 use crate::reload::{self, Reloader, RestartOnlySettings};
 use crate::server::{Server, ServerHandles};
@@ -25,9 +26,6 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::LocalSet;
 
-/// File descriptors reserved for the listener, discovery, signals, standard streams and the runtime.
-const RESERVED_DESCRIPTORS: usize = 32;
-
 /// Maximum number of connections that the operating system queues until the proxy accepts them.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -84,21 +82,6 @@
     }
 }
 
-/// Maximum numbers of open client and backend connections.
-struct ConnectionLimits {
-    clients: usize,
-    backends: usize,
-}
-
-impl ConnectionLimits {
-    /// Splits the descriptors that are not reserved equally between clients and backends.
-    fn of(descriptors: usize) -> ConnectionLimits {
-        let available = descriptors - RESERVED_DESCRIPTORS;
-        let clients = available / 2;
-        ConnectionLimits { clients, backends: available - clients }
-    }
-}
-
 /// State and channels that the tasks of the proxy share with the dispatcher.
 struct SharedHandles {
     clock: Clock,
@@ -145,7 +128,9 @@
     let settings = &config.settings;
     let pool =
         ConnectionPool::new(clock, settings.connect_timeout, settings.backend_idle_timeout, limits.backends);
-    let server = Server::new(server_handles(&shared, stall_detector), settings.clone(), limits.clients);
+    let memory = MemoryBudget::new(config.memory_limit_mb);
+    let server =
+        Server::new(server_handles(&shared, stall_detector, memory), settings.clone(), limits.clients);
     let server = Rc::new(server);
     let (discovery_address, watched_address) = watch::channel(config.discovery);
     let watch_settings = Rc::new(Cell::new(reload::watch_settings(settings)));
@@ -178,12 +163,15 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-fn server_handles(shared: &SharedHandles, stall_detector: StallDetector) -> ServerHandles {
+fn server_handles(
+    shared: &SharedHandles, stall_detector: StallDetector, memory: MemoryBudget,
+) -> ServerHandles {
     ServerHandles {
         clock: shared.clock,
         stall_detector,
         dispatcher: shared.dispatcher.clone(),
         status: shared.status.clone(),
+        memory,
     }
 }
 
--- a/src/wire/proxy_config.rs
+++ b/src/wire/proxy_config.rs
@@ -22,6 +22,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may have open, at least 64.
     pub max_file_descriptors: u32,
+    /// Memory that the process may use, in megabytes; `None` if the file has no limit.
+    pub memory_limit_mb: Option<f64>,
     /// The last endpoint list of the proxy before this start; `None` if the file has none.
     pub cached_list: Option<EndpointList>,
     /// Settings that a reload may change.
@@ -49,6 +51,7 @@
     pub fn from_value(document: &Value) -> Result<ProxyConfigDocument, WireError> {
         let document = Object::root(document);
         let max_file_descriptors = document.object("limits").required("sockets")?;
+        let memory_limit_mb = document.object("limits").optional("memory_mb")?;
         let settings = document.object("settings");
         let balancer = decode_balancer(&settings)?;
         let drain_notice_limit = settings.object("rules").optional("stop_sending_within_us")?;
@@ -63,7 +66,15 @@
         }
         let cached_list =
             if document.has("known") { Some(EndpointList::decode(&document.object("known"))?) } else { None };
-        Ok(ProxyConfigDocument { listen, discovery, seed, max_file_descriptors, cached_list, settings })
+        Ok(ProxyConfigDocument {
+            listen,
+            discovery,
+            seed,
+            max_file_descriptors,
+            memory_limit_mb,
+            cached_list,
+            settings,
+        })
     }
 }
 
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -17,6 +17,7 @@
 mod logging;
 mod malformed_requests;
 mod memory;
+mod read_ahead;
 mod reload;
 mod resource_exhaustion;
 mod slow_clients;
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -17,6 +17,8 @@
 const BAD_PEER_LIMIT: Duration = Duration::from_secs(3);
 /// Longest body that the protocol allows.
 const MAX_BODY_BYTES: usize = 65_536;
+/// Length of the header that makes a head nearly as long as the proxy allows, in bytes.
+const LONG_HEADER_BYTES: usize = 7 << 10;
 /// Length of the pieces in which a slow peer sends a message, in bytes.
 const PIECE_BYTES: usize = 16;
 const ONE_BYTE_CHUNK: &str = "1\r\nx\r\n";
@@ -156,7 +158,7 @@
 fn a_request_with_a_head_of_seven_kib_is_served() {
     let backend = Backend::start(|_| ok_response("x"));
     let (proxy, _discovery) = start_proxy(&[backend]);
-    let facts = format!("X-Facts: {}\r\n\r\n", "x".repeat(7 << 10));
+    let facts = format!("X-Facts: {}\r\n\r\n", "x".repeat(LONG_HEADER_BYTES));
     let text = request_head("read", 1200) + &facts;
     assert_eq!(send_request(&proxy, &text).status(), 200);
     let longer = request_head("read", 1200) + &facts.repeat(2).replacen("\r\n\r\n", "\r\n", 1);
@@ -212,3 +214,48 @@
     }
     assert_memory_is_within_limit(&proxy);
 }
+
+/// Returns a response with a long head and a body of the greatest length, of which this many bytes are missing.
+fn long_response(missing_bytes: usize) -> String {
+    let facts = "x".repeat(LONG_HEADER_BYTES);
+    let body = "x".repeat(MAX_BODY_BYTES - missing_bytes);
+    format!("HTTP/1.1 200 OK\r\nX-Facts: {facts}\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n{body}")
+}
+
+/// Returns a request with a long head and a body of the greatest length.
+fn longest_request() -> String {
+    long_request().replace("Host:", &format!("X-Facts: {}\r\nHost:", "x".repeat(LONG_HEADER_BYTES)))
+}
+
+/// Guards against limits for each connection whose sum exceeds the memory limit: every connection holds the longest
+/// request, the longest incomplete response, and what its client has sent behind the request.
+#[test]
+fn the_longest_messages_on_all_connections_stay_within_the_memory_limit() {
+    let response = long_response(1);
+    let (proxy, _discovery) = start_proxy(&start_backends(DESCRIPTOR_LIMIT / 6, &response, response.len()));
+    let text = longest_request().replace("7000", "3000").repeat(4);
+    let mut peers: Vec<_> = (0..DESCRIPTOR_LIMIT / 2).map(|_| Client::open(proxy.address)).collect();
+    let send = |peer: &mut Client| peer.send_without_waiting(&text);
+    peers.iter_mut().for_each(send);
+    for peer in &mut peers {
+        let response = peer.read_response();
+        assert!(response.as_ref().is_none_or(|response| response.status() >= 400), "{response:?}");
+    }
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against limits that refuse the clients that the platform allows: a third of the descriptors, with the
+/// longest requests and responses, while other clients stop in their requests.
+#[test]
+fn as_many_long_requests_as_the_terms_allow_are_served_beside_stalled_clients() {
+    let response = long_response(0);
+    let (proxy, _discovery) = start_proxy(&start_backends(DESCRIPTOR_LIMIT / 6, &response, response.len()));
+    let request = long_request();
+    let mut stalled: Vec<_> = (0..16).map(|_| Client::open(proxy.address)).collect();
+    stalled.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
+    for response in send_concurrently(&proxy, &request, DESCRIPTOR_LIMIT / 3) {
+        let response = response.expect("a complete response");
+        assert_eq!((response.status(), response.body.len()), (200, MAX_BODY_BYTES));
+    }
+    assert_memory_is_within_limit(&proxy);
+}
--- a/tests/proxy/reload/changed_settings.rs
+++ b/tests/proxy/reload/changed_settings.rs
@@ -118,6 +118,7 @@
         ("/listen", json!("127.0.0.1:1"), "key needs a restart key=listen value=127.0.0.1:0"),
         ("/seed", json!("5"), "key needs a restart key=seed value=8c1f30d27a5be964"),
         ("/limits/sockets", json!(512), "key needs a restart key=limits.sockets value=1024"),
+        ("/limits/memory_mb", json!(64), "key needs a restart key=limits.memory_mb value=192"),
         (
             "/settings/discovery",
             json!("subscribe"),
--- a/tests/proxy/support/client.rs
+++ b/tests/proxy/support/client.rs
@@ -30,6 +30,14 @@
         self.stream.get_mut().write_all(text.as_bytes())
     }
 
+    /// Sends as much of the text as the connection takes at once.
+    pub fn send_without_waiting(&mut self, text: &str) {
+        let stream = self.stream.get_mut();
+        stream.set_nonblocking(true).unwrap();
+        let _ = stream.write_all(text.as_bytes());
+        stream.set_nonblocking(false).unwrap();
+    }
+
     /// Sends the text in pieces of this many bytes, with a short pause between them.
     pub fn send_in_pieces(&mut self, text: &str, piece_bytes: usize) {
         write_in_pieces(self.stream.get_mut(), text, piece_bytes);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -142,6 +142,7 @@
     let decoded = ProxyConfigDocument::from_value(&proxy_config()).unwrap();
     assert_eq!((decoded.seed, decoded.max_file_descriptors), (255, 64));
     assert_eq!(decoded.cached_list.map(|list| list.version), Some(7));
+    assert_eq!(decoded.memory_limit_mb, None);
     let cases = [
         (without_key(&proxy_config(), "/settings"), "settings.zones: missing, expected an array"),
         (
@@ -152,6 +153,10 @@
             with_value(&proxy_config(), "/limits/sockets", json!(63)),
             "limits.sockets: expected at least 64, got 63",
         ),
+        (
+            with_value(&proxy_config(), "/limits", json!({"sockets": 64, "memory_mb": "32"})),
+            "limits.memory_mb: expected a number, got \"32\"",
+        ),
         (
             with_value(&proxy_config(), "/seed", json!("12345678901234567")),
             "seed: expected up to 16 hex digits, got \"12345678901234567\"",
