Reserve the memory of bodies from budgets derived from limits.memory_mb

What callers would see: each limit held for one connection, and nothing limited the sum of all connections and attempts.

Change: beside the program, 32 KiB for the buffers of each connection and reading ahead, the limit is divided between the bodies of requests and of responses. A body reserves its stated length, or 64 KiB without one, before it is read, and keeps it until its last reference is gone; a body that does not fit waits its turn. The two budgets are separate, so that requests cannot take what their responses need. While a request waits, requests whose bodies have stalled for 0.2 s get 408, the longest stalled first; otherwise clients that stop in a body would keep sound ones waiting for up to 2.75 s.

Tried and changed: a stall counted from the last byte alone timed out requests that had waited for their memory; it counts from the later of the last byte and the reservation.

--- a/src/bin/load-balancer-proxy/dispatcher/tests.rs
+++ b/src/bin/load-balancer-proxy/dispatcher/tests.rs
@@ -5,8 +5,10 @@
 use super::{Dispatcher, DispatcherHandles};
 use crate::clock::Clock;
 use crate::config::Settings;
+use crate::headers::MAX_BODY_BYTES;
+use crate::memory::BodyBudget;
 use crate::messages::{DispatcherMessage, FinalResponse, ReceivedRequest};
-use crate::upstream::{ConnectionPool, UpstreamRequest, UpstreamResult};
+use crate::upstream::{ConnectionPool, ConnectionPoolSettings, UpstreamRequest, UpstreamResult};
 use bytes::Bytes;
 use hyper::Response;
 use load_balancer::wire::endpoint_list::Endpoint;
@@ -36,7 +38,13 @@
 
 fn dispatcher(clock: Clock) -> Dispatcher {
     let (messages, _received) = mpsc::unbounded_channel();
-    let pool = Rc::new(ConnectionPool::new(clock, SECOND, SECOND, 8));
+    let pool = Rc::new(ConnectionPool::new(ConnectionPoolSettings {
+        clock,
+        connect_timeout: SECOND,
+        backend_idle_timeout: SECOND,
+        max_sockets: 8,
+        response_bodies: BodyBudget::new(MAX_BODY_BYTES),
+    }));
     let handles = DispatcherHandles { pool, messages, resubscribe: Rc::default(), status: Rc::default() };
     Dispatcher::new(Arc::new(settings()), 1, handles).expect("valid configuration")
 }
--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -34,6 +34,10 @@
 /// Input or a close that is on its way arrives within it.
 const ARRIVAL_ALLOWANCE: Duration = Duration::from_millis(25);
 
+/// While memory is short, a request whose body gets no byte for this time is timed out. Longer than a stall of the process,
+/// in which bytes arrive and are not read.
+const BODY_STALL_TIME: Duration = Duration::from_millis(200);
+
 /// Times at which hyper read data of a client. Data that was read ahead counts when it is passed to hyper.
 pub struct ReadTimes {
     clock: Clock,
@@ -106,6 +110,8 @@
     is_handling_request: Cell<bool>,
     /// Whether a request was read completely and awaits its response.
     is_awaiting_response: Cell<bool>,
+    /// Since when memory is reserved for the body of a request that is being read; `None` if there is none.
+    body_memory_since: Cell<Option<Time>>,
     /// Whether the client may have left while the request that awaits its response waited to be read.
     is_disconnect_unchecked: Cell<bool>,
     /// How the connection was asked to close; `None` if it was not.
@@ -139,6 +145,7 @@
             has_answered: Cell::default(),
             is_handling_request: Cell::default(),
             is_awaiting_response: Cell::default(),
+            body_memory_since: Cell::default(),
             is_disconnect_unchecked: Cell::default(),
             close_mode: Cell::default(),
             closing_until: Cell::default(),
@@ -166,6 +173,25 @@
         self.is_awaiting_response.get()
     }
 
+    /// Records that memory was reserved for the body of a request, which is read from now on.
+    pub fn begin_body(&self) {
+        self.body_memory_since.set(Some(self.clock.now()));
+    }
+
+    /// Records that the body was read, or could not be.
+    pub fn end_body(&self) {
+        self.body_memory_since.set(None);
+    }
+
+    /// Returns since when no byte has arrived of a body for which memory is reserved; `None` if there is no such body,
+    /// it has not stalled, or it was timed out.
+    pub fn body_stalled_since(&self) -> Option<Time> {
+        let since = self.body_memory_since.get()?.max(self.read_times.last_byte_at.get()?);
+        let is_stalled = self.clock.now() - since >= micros(BODY_STALL_TIME);
+        let is_timed_out = self.close_mode.get() == Some(CloseMode::TimeOutRequest);
+        (is_stalled && !is_timed_out).then_some(since)
+    }
+
     /// Sets whether the client may have left while the request that awaits its response waited to be read.
     pub fn set_disconnect_unchecked(&self, is_unchecked: bool) {
         self.is_disconnect_unchecked.set(is_unchecked);
@@ -179,6 +205,7 @@
     /// Records that the response is ready to be written. The connection counts as idle from now on.
     pub fn end_request(&self) {
         self.is_handling_request.set(false);
+        self.end_body();
         self.has_answered.set(true);
         self.read_times.first_byte_at.set(None);
         self.last_response_at.set(Some(self.clock.now()));
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -5,7 +5,7 @@
 //! | --- | --- |
 //! | accepting, and limits on open connections | `listener`, `capacity`, `inactivity` |
 //! | one connection | `connection_task`, `client_connection`, `client_socket`, `read_ahead` |
-//! | one request | `request_handler`, `request_parsing`, `request_error`, `disconnect_guard`, `responses` |
+//! | one request | `request_handler`, `request_parsing`, `request_body`, `request_error`, `disconnect_guard`, `responses` |
 //! | readiness probe | `readiness` |
 //! | graceful shutdown | `graceful_shutdown` |
 
@@ -19,6 +19,7 @@
 mod listener;
 mod read_ahead;
 mod readiness;
+mod request_body;
 mod request_error;
 mod request_handler;
 mod request_parsing;
--- a/src/bin/load-balancer-proxy/server/request_handler.rs
+++ b/src/bin/load-balancer-proxy/server/request_handler.rs
@@ -9,7 +9,7 @@
 use super::request_parsing::ParsedRequest;
 use super::responses::{self, ServerResponse};
 use super::Server;
-use crate::headers::{remove_hop_by_hop, MAX_BODY_BYTES};
+use crate::headers::remove_hop_by_hop;
 use crate::messages::{DispatcherMessage, FinalResponse, ReceivedRequest};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
@@ -18,7 +18,6 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::Request;
-use load_balancer::net::body::{self, BodyError};
 use load_balancer::{Micros, RequestId, Time};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -82,24 +81,6 @@
         Ok(CompleteRequest { arrived_at, time_before_read, parsed, head, body })
     }
 
-    async fn read_body(
-        &self, body: Incoming, client: &ClientConnection, deadline: Time,
-    ) -> Result<Bytes, RequestError> {
-        let read = tokio::select! {
-            biased;
-            read = body::read(body, MAX_BODY_BYTES) => read,
-            () = client.request_timed_out.notified() => return Err(RequestError::BodyIncomplete),
-            () = tokio::time::sleep_until(self.clock.instant(deadline)) => {
-                return Err(RequestError::BodyIncomplete);
-            }
-        };
-        match read {
-            Ok(body) => Ok(body.into()),
-            Err(BodyError::TooLarge { .. }) => Err(RequestError::BodyTooLarge),
-            Err(BodyError::Connection(_)) => Err(RequestError::InvalidBody),
-        }
-    }
-
     /// Sends a request to the dispatcher and waits for the final response.
     async fn forward(&self, request: CompleteRequest, client: &ClientConnection) -> ServerResponse {
         let CompleteRequest { arrived_at, time_before_read, parsed, head, body } = request;
--- a/src/bin/load-balancer-proxy/startup.rs
+++ b/src/bin/load-balancer-proxy/startup.rs
@@ -2,14 +2,14 @@
 //! this order.
 
 use crate::clock::Clock;
-use crate::config::ProxyConfig;
+use crate::config::{ProxyConfig, Settings};
 use crate::dispatcher::{Dispatcher, DispatcherHandles};
 use crate::memory::{ConnectionLimits, MemoryBudget};
 use crate::messages::{DispatcherMessage, ServingStatus};
 use crate::reload::{self, Reloader, RestartOnlySettings};
 use crate::server::{Server, ServerHandles};
 use crate::stall_detector::StallDetector;
-use crate::upstream::ConnectionPool;
+use crate::upstream::{ConnectionPool, ConnectionPoolSettings};
 use load_balancer::discovery::start_times::StartTimes;
 use load_balancer::discovery::{Watch, WatchSettings};
 use load_balancer::net::resource_exhaustion::retry_blocking;
@@ -126,9 +126,8 @@
     let (dispatcher, messages) = mpsc::unbounded_channel();
     let shared = SharedHandles { clock, dispatcher, resubscribe: Rc::default(), status: Rc::default() };
     let settings = &config.settings;
-    let pool =
-        ConnectionPool::new(clock, settings.connect_timeout, settings.backend_idle_timeout, limits.backends);
-    let memory = MemoryBudget::new(config.memory_limit_mb);
+    let memory = MemoryBudget::new(config.memory_limit_mb, limits);
+    let pool = ConnectionPool::new(pool_settings(settings, clock, limits, &memory));
     let server =
         Server::new(server_handles(&shared, stall_detector, memory), settings.clone(), limits.clients);
     let server = Rc::new(server);
@@ -163,6 +162,18 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
+fn pool_settings(
+    settings: &Settings, clock: Clock, limits: ConnectionLimits, memory: &MemoryBudget,
+) -> ConnectionPoolSettings {
+    ConnectionPoolSettings {
+        clock,
+        connect_timeout: settings.connect_timeout,
+        backend_idle_timeout: settings.backend_idle_timeout,
+        max_sockets: limits.backends,
+        response_bodies: memory.response_bodies.clone(),
+    }
+}
+
 fn server_handles(
     shared: &SharedHandles, stall_detector: StallDetector, memory: MemoryBudget,
 ) -> ServerHandles {
--- a/src/bin/load-balancer-proxy/upstream/attempt.rs
+++ b/src/bin/load-balancer-proxy/upstream/attempt.rs
@@ -128,7 +128,7 @@
         };
         let exchanged = tokio::select! {
             biased;
-            exchanged = connection.exchange(request) => exchanged,
+            exchanged = connection.exchange(request, &self.pool.response_bodies) => exchanged,
             () = not_written_in_time => return Ok(Outcome::NotSent.into()),
         };
         match exchanged {
--- a/src/bin/load-balancer-proxy/upstream/connection.rs
+++ b/src/bin/load-balancer-proxy/upstream/connection.rs
@@ -5,6 +5,7 @@
 use super::socket::{UpstreamSocket, WriteProgress};
 use super::socket_budget::SocketSlot;
 use crate::headers::MAX_HEAD_BYTES;
+use crate::memory::BodyBudget;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -53,9 +54,11 @@
     }
 
     /// Sends the request and reads the complete response. A connection failure is returned as an error.
-    pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<UpstreamResult, ExchangeError> {
+    pub async fn exchange(
+        &mut self, request: Request<Full<Bytes>>, response_bodies: &BodyBudget,
+    ) -> Result<UpstreamResult, ExchangeError> {
         self.write_progress.set(WriteProgress::NotStarted);
-        let mut exchange = pin!(response::send_and_read(&mut self.sender, request));
+        let mut exchange = pin!(response::send_and_read(&mut self.sender, request, response_bodies));
         poll_fn(|context| {
             if !self.is_closed {
                 self.is_closed = self.driver.as_mut().poll(context).is_ready();
--- a/src/bin/load-balancer-proxy/upstream/connection_pool.rs
+++ b/src/bin/load-balancer-proxy/upstream/connection_pool.rs
@@ -5,6 +5,7 @@
 use super::connection::Connection;
 use super::socket_budget::{SocketBudget, SocketSlot};
 use crate::clock::{duration, Clock};
+use crate::memory::BodyBudget;
 use load_balancer::net::connect::{connect, ConnectError, Connected};
 use load_balancer::{Micros, Outcome, Time};
 use std::cell::{Cell, RefCell};
@@ -49,10 +50,26 @@
     pub is_reused: bool,
 }
 
+/// Settings of a [`ConnectionPool`].
+pub struct ConnectionPoolSettings {
+    /// Clock shared by the pool, its attempts and the dispatcher.
+    pub clock: Clock,
+    /// A connection that is not established after this time counts as failed.
+    pub connect_timeout: Micros,
+    /// Time after which a backend closes an idle connection.
+    pub backend_idle_timeout: Micros,
+    /// Maximum number of open sockets, including those of idle connections.
+    pub max_sockets: usize,
+    /// Memory for the bodies of responses.
+    pub response_bodies: BodyBudget,
+}
+
 /// Pool of the connections to all backends.
 pub struct ConnectionPool {
     /// Clock shared by the pool, its attempts and the dispatcher.
     pub clock: Clock,
+    /// Memory for the bodies of responses.
+    pub(super) response_bodies: BodyBudget,
     /// Time limit for opening a connection.
     connect_timeout: Cell<Micros>,
     /// Time after which the pool closes an idle connection.
@@ -64,19 +81,17 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool. `backend_idle_timeout` is the time after which a backend closes an idle
-    /// connection. `max_sockets` limits the number of open sockets, including those of idle connections.
-    pub fn new(
-        clock: Clock, connect_timeout: Micros, backend_idle_timeout: Micros, max_sockets: usize,
-    ) -> ConnectionPool {
+    /// Creates an empty pool.
+    pub fn new(settings: ConnectionPoolSettings) -> ConnectionPool {
         let pool = ConnectionPool {
-            clock,
+            clock: settings.clock,
+            response_bodies: settings.response_bodies,
             connect_timeout: Cell::default(),
             idle_timeout: Cell::default(),
-            sockets: SocketBudget::new(max_sockets),
+            sockets: SocketBudget::new(settings.max_sockets),
             backends_with_idle: RefCell::default(),
         };
-        pool.set_timeouts(connect_timeout, backend_idle_timeout);
+        pool.set_timeouts(settings.connect_timeout, settings.backend_idle_timeout);
         pool
     }
 
--- a/src/bin/load-balancer-proxy/upstream/mod.rs
+++ b/src/bin/load-balancer-proxy/upstream/mod.rs
@@ -21,5 +21,5 @@
 
 pub use attempt::{AttemptLimits, UpstreamResult};
 pub use backend::Upstream;
-pub use connection_pool::ConnectionPool;
+pub use connection_pool::{ConnectionPool, ConnectionPoolSettings};
 pub use request::UpstreamRequest;
--- a/src/bin/load-balancer-proxy/upstream/response.rs
+++ b/src/bin/load-balancer-proxy/upstream/response.rs
@@ -1,14 +1,15 @@
 //! One exchange with a backend: sends the request, reads the complete response and classifies it.
 
 use super::attempt::UpstreamResult;
-use crate::headers::{remove_hop_by_hop, MAX_BODY_BYTES, UNPROCESSED};
+use crate::headers::{remove_hop_by_hop, UNPROCESSED};
+use crate::memory::BodyBudget;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
-use load_balancer::net::body::{self, BodyError};
+use load_balancer::net::body::BodyError;
 use load_balancer::Outcome;
 use std::error::Error;
 use std::io;
@@ -52,11 +53,11 @@
 
 /// Sends the request and reads the complete response, so that a truncated response never reaches the client.
 pub(super) async fn send_and_read(
-    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
+    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>, bodies: &BodyBudget,
 ) -> Result<UpstreamResult, ExchangeError> {
     let (head, body) = sender.send_request(request).await?.into_parts();
-    let body = body::read(body, MAX_BODY_BYTES).await?;
-    classify(head, body.into())
+    let body = bodies.reserve(&body).await.read(body).await?;
+    classify(head, body)
 }
 
 /// Returns the result of an attempt that received a complete response.
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -27,9 +27,14 @@
 
 /// Starts a proxy with the smallest limits, and its discovery service.
 fn start_proxy(backends: &[Backend]) -> (ProxyProcess, Discovery) {
+    start_proxy_with_descriptors(backends, DESCRIPTOR_LIMIT)
+}
+
+/// Starts a proxy with the smallest memory limit and this many descriptors.
+fn start_proxy_with_descriptors(backends: &[Backend], descriptors: usize) -> (ProxyProcess, Discovery) {
     let discovery = Discovery::start();
     let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
-    config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": DESCRIPTOR_LIMIT});
+    config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": descriptors});
     (ProxyProcess::start(&config), discovery)
 }
 
@@ -259,3 +264,62 @@
     }
     assert_memory_is_within_limit(&proxy);
 }
+
+/// Guards against bodies whose sum is limited only by the number of connections: with many descriptors and little
+/// memory, they wait for each other and are all served.
+#[test]
+fn long_requests_wait_for_memory_and_are_served() {
+    let response = long_response(0);
+    let descriptors = 1024;
+    let backends = start_backends(descriptors / 12, &response, response.len());
+    let (proxy, _discovery) = start_proxy_with_descriptors(&backends, descriptors);
+    let address = proxy.address;
+    let send = |_| {
+        std::thread::spawn(move || {
+            let mut client = Client::open(address);
+            client.send(&long_request());
+            client.read_response().map(|response| (response.status(), response.body.len()))
+        })
+    };
+    let clients: Vec<_> = (0..descriptors / 3).map(send).collect();
+    for client in clients {
+        assert_eq!(client.join().unwrap(), Some((200, MAX_BODY_BYTES)));
+    }
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against a body that waits for memory beyond the time in which a bad peer must get an error.
+#[test]
+fn stalled_requests_without_memory_get_an_error_in_time() {
+    let descriptors = 1024;
+    let backend = Backend::start(|_| ok_response("x"));
+    let (proxy, _discovery) = start_proxy_with_descriptors(&[backend], descriptors);
+    let request = long_request();
+    let mut peers: Vec<_> = (0..descriptors / 3).map(|_| Client::open(proxy.address)).collect();
+    let began = Instant::now();
+    peers.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
+    for peer in &mut peers {
+        assert_eq!(peer.read_response().map(|response| response.status()), Some(408));
+    }
+    assert!(began.elapsed() < BAD_PEER_LIMIT, "the last peer was closed after {:?}", began.elapsed());
+    assert_requests_are_served(&proxy, 20);
+    assert_memory_is_within_limit(&proxy);
+}
+
+/// Guards against clients that hold all memory for bodies with requests that they do not complete.
+#[test]
+fn a_long_request_is_served_while_stalled_requests_hold_the_memory() {
+    let descriptors = 1024;
+    let backend = Backend::start(|_| ok_response("x"));
+    let (proxy, _discovery) = start_proxy_with_descriptors(&[backend], descriptors);
+    let request = long_request();
+    let mut peers: Vec<_> = (0..descriptors / 4).map(|_| Client::open(proxy.address)).collect();
+    peers.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
+    let began = Instant::now();
+    assert_eq!(send_request(&proxy, &request).status(), 200);
+    // The stalled requests have their time of nearly 3 s otherwise.
+    assert!(began.elapsed() < Duration::from_secs(2), "served after {:?}", began.elapsed());
+    for peer in &mut peers {
+        assert_eq!(peer.read_response().map(|response| response.status()), Some(408));
+    }
+}
