Move the times of a client's reads into a file of their own

ReadTimes is its own file now, with private fields and methods in place of cells that the connection read directly. No behaviour changes: the comparison of everything but names prints only these accesses.

--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -9,6 +9,7 @@
 
 use super::client_socket::LastResponse;
 use super::inactivity::{InactiveConnection, Inactivity};
+use super::read_times::ReadTimes;
 use crate::clock::{micros, Clock};
 use load_balancer::{Micros, Time};
 use std::cell::Cell;
@@ -38,43 +39,6 @@
 /// in which bytes arrive and are not read.
 const BODY_STALL_TIME: Duration = Duration::from_millis(200);
 
-/// Times at which hyper read data of a client. Data that was read ahead counts when it is passed to hyper.
-pub struct ReadTimes {
-    clock: Clock,
-    /// Time of the first byte since the last response; `None` if none was read since.
-    first_byte_at: Cell<Option<Time>>,
-    /// Time of the last byte; `None` if none was ever read.
-    last_byte_at: Cell<Option<Time>>,
-    /// Whether the first read found no data: all data has then arrived after the accept.
-    was_empty_at_first_read: Cell<bool>,
-}
-
-impl ReadTimes {
-    /// Creates a record without any reads.
-    pub fn new(clock: Clock) -> ReadTimes {
-        ReadTimes {
-            clock,
-            first_byte_at: Cell::default(),
-            last_byte_at: Cell::default(),
-            was_empty_at_first_read: Cell::default(),
-        }
-    }
-
-    /// Records that a read found no data.
-    pub fn record_empty_read(&self) {
-        if self.last_byte_at.get().is_none() {
-            self.was_empty_at_first_read.set(true);
-        }
-    }
-
-    /// Records that bytes were read now.
-    pub fn record_read(&self) {
-        let now = self.clock.now();
-        self.first_byte_at.set(self.first_byte_at.get().or(Some(now)));
-        self.last_byte_at.set(Some(now));
-    }
-}
-
 /// How a connection that is asked to close is closed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CloseMode {
@@ -186,7 +150,7 @@
     /// Returns since when no byte has arrived of a body for which memory is reserved; `None` if there is no such body,
     /// it has not stalled, or it was timed out.
     pub fn body_stalled_since(&self) -> Option<Time> {
-        let since = self.body_memory_since.get()?.max(self.read_times.last_byte_at.get()?);
+        let since = self.body_memory_since.get()?.max(self.read_times.last_byte_at()?);
         let is_stalled = self.clock.now() - since >= micros(BODY_STALL_TIME);
         let is_timed_out = self.close_mode.get() == Some(CloseMode::TimeOutRequest);
         (is_stalled && !is_timed_out).then_some(since)
@@ -207,7 +171,7 @@
         self.is_handling_request.set(false);
         self.end_body();
         self.has_answered.set(true);
-        self.read_times.first_byte_at.set(None);
+        self.read_times.begin_message();
         self.last_response_at.set(Some(self.clock.now()));
         self.became_idle.notify_one();
     }
@@ -215,7 +179,7 @@
     /// Returns the time by which the current request must be received completely.
     pub fn request_read_deadline(&self) -> Time {
         if self.has_answered.get() {
-            let first_byte_at = self.read_times.first_byte_at.get().unwrap_or(self.clock.now());
+            let first_byte_at = self.read_times.first_byte_at().unwrap_or(self.clock.now());
             return first_byte_at + micros(REQUEST_TIMEOUT);
         }
         let earliest = self.accepted_at + micros(MIN_READ_TIME);
@@ -225,10 +189,10 @@
     /// Returns how long the current request may have waited until its first byte was read, in the listen queue
     /// or after the accept.
     pub fn accept_delay(&self) -> Micros {
-        if self.has_answered.get() || self.read_times.was_empty_at_first_read.get() {
+        if self.has_answered.get() || self.read_times.was_empty_at_first_read() {
             return Micros(0);
         }
-        self.read_times.first_byte_at.get().unwrap_or(self.accepted_at) - self.opened_at
+        self.read_times.first_byte_at().unwrap_or(self.accepted_at) - self.opened_at
     }
 
     /// Returns when and how the connection is closed unless its state changes. `None` while a request is
@@ -238,7 +202,7 @@
         if self.is_handling_request.get() {
             return None;
         }
-        if self.read_times.first_byte_at.get().is_some() {
+        if self.read_times.first_byte_at().is_some() {
             let at = self.request_read_deadline();
             return Some(CloseDeadline { at, mode: CloseMode::TimeOutRequest });
         }
@@ -260,7 +224,7 @@
             return inactive(Inactivity::Ended, ended_at);
         }
         if self.is_receiving_request() {
-            let last_byte_at = self.read_times.last_byte_at.get().unwrap_or(self.accepted_at);
+            let last_byte_at = self.read_times.last_byte_at().unwrap_or(self.accepted_at);
             let is_timed_out = self.close_mode.get() == Some(CloseMode::TimeOutRequest);
             return inactive_after_allowance(Inactivity::Incomplete, last_byte_at).filter(|_| !is_timed_out);
         }
@@ -333,23 +297,23 @@
     /// Returns since when the connection has been idle between requests. `None` before the first response and
     /// once the client has sent the first byte of the next request.
     pub fn idle_since(&self) -> Option<Time> {
-        self.last_response_at.get().filter(|_| self.read_times.first_byte_at.get().is_none())
+        self.last_response_at.get().filter(|_| self.read_times.first_byte_at().is_none())
     }
 
     /// Whether the client has sent nothing since the connection was accepted.
     pub fn has_sent_nothing(&self) -> bool {
-        self.read_times.last_byte_at.get().is_none()
+        self.read_times.last_byte_at().is_none()
     }
 
     /// Whether the head of a request is partially received.
     pub fn is_receiving_head(&self) -> bool {
-        !self.is_handling_request.get() && self.read_times.first_byte_at.get().is_some()
+        !self.is_handling_request.get() && self.read_times.first_byte_at().is_some()
     }
 
     /// Whether the head or body of a request is partially received.
     pub fn is_receiving_request(&self) -> bool {
         !self.is_awaiting_response.get()
-            && (self.is_handling_request.get() || self.read_times.first_byte_at.get().is_some())
+            && (self.is_handling_request.get() || self.read_times.first_byte_at().is_some())
     }
 
     fn idle_deadline(&self) -> Time {
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -4,8 +4,8 @@
 //! hyper does not always detect this itself: if it receives a byte of the next request while a request awaits
 //! its response, it stops reading. It then does not see the end of the stream.
 
-use super::client_connection::ReadTimes;
 use super::read_ahead::{ReadAhead, Room, STEP_BYTES};
+use super::read_times::ReadTimes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -4,7 +4,7 @@
 //! | concern | module |
 //! | --- | --- |
 //! | accepting, and limits on open connections | `listener`, `capacity`, `inactivity` |
-//! | one connection | `connection_task`, `client_connection`, `client_socket`, `read_ahead` |
+//! | one connection | `connection_task`, `client_connection`, `client_socket`, `read_ahead`, `read_times` |
 //! | one request | `request_handler`, `request_parsing`, `request_body`, `request_error`, `disconnect_guard`, `responses` |
 //! | readiness probe | `readiness` |
 //! | graceful shutdown | `graceful_shutdown` |
@@ -18,6 +18,7 @@
 mod inactivity;
 mod listener;
 mod read_ahead;
+mod read_times;
 mod readiness;
 mod request_body;
 mod request_error;
