Soak: long bodies, small pieces, endless answers, and a memory limit

The soak test had not shown the faults of memory: its slow clients sent two pieces, its faulty answers came in one or two, and no rule named memory. Now one request in twelve is sent in pieces of 64 bytes, one in twelve with a body has up to 64 KiB, one answer in forty comes in pieces of 16 bytes and never ends, a quarter of the stalled clients stop in a head that is too long and a quarter in a long body, and a proxy over 32 MB at its peak is a violation.

--- a/tests/proxy/soak.rs
+++ b/tests/proxy/soak.rs
@@ -32,6 +32,8 @@
 const FAULTS_DURATION: Duration = Duration::from_secs(12);
 const CLIENTS: u64 = 10;
 const BACKENDS: usize = 4;
+/// Memory limit of the proxy, the smallest that the platform gives.
+const MEMORY_LIMIT_MB: u64 = 32;
 
 /// The proxy configuration of a run, and the longest deadline in it.
 struct RunConfig {
@@ -54,11 +56,13 @@
     config["settings"]["limits"]["dial_timeout_us"] = json!(100_000);
     config["settings"]["discovery"] = json!(if one_in(random, 2) { "automatic" } else { "subscribe" });
     config["limits"]["sockets"] = json!(96 + below(random, 200));
+    config["limits"]["memory_mb"] = json!(MEMORY_LIMIT_MB);
     RunConfig { config, longest_deadline_ms }
 }
 
-/// Sends requests from all clients while faults are injected, then shuts the proxy down.
-fn send_requests_under_faults(run: &Run, random: &mut Pcg32, seed: u64) {
+/// Sends requests from all clients while faults are injected, then shuts the proxy down. Returns its peak memory before
+/// that, in KiB.
+fn send_requests_under_faults(run: &Run, random: &mut Pcg32, seed: u64) -> u64 {
     let (stop, next_request_id) = (AtomicBool::new(false), AtomicU64::new(seed << 32));
     let (stop, next_request_id) = (&stop, &next_request_id);
     std::thread::scope(|scope| {
@@ -79,9 +83,11 @@
             std::thread::sleep(Duration::from_millis(100 + below(random, 500)));
             run.inject_fault(random, &mut states, &mut idle_clients);
         }
+        let peak_memory_kib = run.proxy.peak_memory_kib();
         run.shut_down(random);
         stop.store(true, Ordering::SeqCst);
-    });
+        peak_memory_kib
+    })
 }
 
 /// Starts the proxy, backends and discovery of a run.
@@ -103,8 +109,11 @@
 fn run_seed(seed: u64) -> Vec<String> {
     let mut random = Pcg32::seed_from_u64(seed);
     let mut run = start_run(&mut random, seed);
-    send_requests_under_faults(&run, &mut random, seed);
+    let peak_memory_kib = send_requests_under_faults(&run, &mut random, seed);
     let mut violations = Vec::new();
+    if peak_memory_kib > MEMORY_LIMIT_MB * 1024 {
+        violations.push(format!("the proxy took {peak_memory_kib} KiB of memory"));
+    }
     if run.proxy.wait_for_exit().code().is_some_and(|code| code != 0) {
         violations.push("the proxy exited with a nonzero code".into());
     }
@@ -112,7 +121,8 @@
     let is_error = |line: &&str| line.contains("ERROR") || line.contains("panicked");
     violations.extend(log.lines().filter(is_error).map(str::to_string));
     violations.extend(check_rules(&run.record, &log));
-    println!("seed {seed}: {}, {} violations", run.record.summary(), violations.len());
+    let summary = run.record.summary();
+    println!("seed {seed}: {summary}, peak memory {peak_memory_kib} KiB, {} violations", violations.len());
     violations
 }
 
--- a/tests/proxy/soak/backends.rs
+++ b/tests/proxy/soak/backends.rs
@@ -13,6 +13,14 @@
     message.header("x-correlation-id").and_then(|id| u64::from_str_radix(id, 16).ok()).unwrap_or(0)
 }
 
+/// Length of the pieces in which a long message is sent, in bytes.
+const PIECE_BYTES: usize = 16;
+
+/// Returns a response whose body is never complete.
+fn long_incomplete_response() -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(20_000))
+}
+
 /// Starts a backend that serves most requests, with the request's correlation id as the body, and fails the
 /// others in various ways.
 pub fn start_backend(number: usize, seed: u64, record: &Arc<RunRecord>) -> Backend {
@@ -38,6 +46,7 @@
             4 => Reply::SendAndClose(format!("HTTP/1.1 200 OK\r\n\r\n{body}")),
             5 => Reply::SendAndClose(format!("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{body}")),
             6 => Reply::NoResponse,
+            7 => Reply::SendInPieces(long_incomplete_response(), PIECE_BYTES),
             _ => ok_response(&body),
         }
     })
--- a/tests/proxy/soak/clients.rs
+++ b/tests/proxy/soak/clients.rs
@@ -9,6 +9,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+/// Longest body that the protocol allows.
+const MAX_BODY_BYTES: u64 = 65_536;
+/// Length of the pieces in which a request is sent slowly, in bytes.
+const PIECE_BYTES: usize = 64;
+
 /// A client that sends one request at a time over a persistent connection.
 pub struct ClientLoop<'a> {
     pub proxy_address: SocketAddr,
@@ -43,7 +48,12 @@
         let longest_ms = self.longest_deadline_ms;
         let time_left_ms = longest_ms / 3 + below(&mut self.random, longest_ms * 2 / 3);
         let id = self.next_request_id.fetch_add(1, Ordering::SeqCst);
-        let text = request(class, time_left_ms).replace("9b1f03aa5c7e2d41", &format!("{id:x}"));
+        let mut text = request(class, time_left_ms).replace("9b1f03aa5c7e2d41", &format!("{id:x}"));
+        if class != "read" && one_in(&mut self.random, 12) {
+            let length = below(&mut self.random, MAX_BODY_BYTES) as usize;
+            text = text.replace("Content-Length: 4", &format!("Content-Length: {length}"));
+            text = text.replace("body", &"x".repeat(length));
+        }
         self.send_whole_or_in_parts(&mut client, &text);
         let (sent, time_left) = (Instant::now(), Duration::from_millis(time_left_ms));
         let mut record = RequestRecord { class, sent, time_left, outcome: RequestOutcome::Unanswered };
@@ -69,6 +79,10 @@
     }
 
     fn send_whole_or_in_parts(&mut self, client: &mut Client, text: &str) {
+        if one_in(&mut self.random, 12) {
+            client.send_in_pieces(text, PIECE_BYTES);
+            return;
+        }
         if !one_in(&mut self.random, 12) {
             client.send(text);
             return;
--- a/tests/proxy/soak/faults.rs
+++ b/tests/proxy/soak/faults.rs
@@ -3,7 +3,7 @@
 use super::random::{below, one_in};
 use super::record::{DrainInterval, RunRecord};
 use super::BACKENDS;
-use crate::support::{endpoint, Backend, Client, Discovery, Faults, ProxyProcess};
+use crate::support::{endpoint, request, Backend, Client, Discovery, Faults, ProxyProcess};
 use rand_pcg::Pcg32;
 use serde_json::Value;
 use std::sync::atomic::Ordering;
@@ -66,11 +66,19 @@
         }
     }
 
-    /// Opens a connection that stays without a complete request. Every other one sends half a head.
+    /// Opens a connection that stays without a complete request: silent, in a head, in a head that is too long, or in
+    /// a long body.
     fn open_stalled_client(&self, number: u64) -> Option<Client> {
         let mut client = Client::try_open(self.proxy.address).ok()?;
-        if number % 2 == 1 {
-            client.send("GET /read HTTP/1.1\r\nHost: back");
+        match number % 4 {
+            0 => {}
+            1 => client.send("GET /read HTTP/1.1\r\nHost: back"),
+            2 => client.send(&format!("GET /read HTTP/1.1\r\nX-Facts: {}", "x".repeat(20_000))),
+            _ => {
+                let length = "Content-Length: 65536";
+                let text = request("pay", 60_000).replace("Content-Length: 4", length);
+                client.send(&text.replace("body", &"x".repeat(60_000)));
+            }
         }
         Some(client)
     }
