--- a/src/bin/load-balancer-proxy/headers.rs
+++ b/src/bin/load-balancer-proxy/headers.rs
@@ -1,5 +1,5 @@
-//! Header fields of the platform's protocol, limits on the size of messages, and removal of the fields that a proxy must not
-//! forward.
+//! Header fields of the platform's protocol, limits on the size of messages, and removal of the fields that a
+//! proxy must not forward.
 
 use hyper::header::{
     HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -22,8 +22,8 @@
 /// `1` in a response if the backend did not execute the request.
 pub const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
-/// Maximum length of the head of a request or response, and of the trailers behind its body, in bytes. Also the
-/// size of the buffer into which a connection reads.
+/// Maximum length of the head of a request or response, and of the trailers behind its body, in bytes. Also
+/// the size of the buffer into which a connection reads.
 pub const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum length of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
--- a/src/bin/load-balancer-proxy/memory/body_budget.rs
+++ b/src/bin/load-balancer-proxy/memory/body_budget.rs
@@ -1,7 +1,7 @@
 //! Memory for bodies. A body that does not fit waits until others are freed.
 //!
-//! The memory of a body is reserved as a whole before its first byte is read. If bodies were reserved in steps, those
-//! that are partially read could take all memory, and none of them would ever be complete.
+//! The memory of a body is reserved as a whole before its first byte is read. If bodies were reserved in
+//! steps, those that are partially read could take all memory, and none of them would ever be complete.
 
 use crate::headers::MAX_BODY_BYTES;
 use bytes::Bytes;
@@ -69,8 +69,8 @@
     }
 }
 
-/// Returns how much memory to reserve for a body: its stated length, or the maximum if it has none. Nothing for a body
-/// that is too long, because it is not read.
+/// Returns how much memory to reserve for a body: its stated length, or the maximum if it has none. Nothing
+/// for a body that is too long, because it is not read.
 fn reserved_bytes(body: &Incoming) -> usize {
     let stated_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     match body.size_hint().exact() {
--- a/src/bin/load-balancer-proxy/memory/memory_budget.rs
+++ b/src/bin/load-balancer-proxy/memory/memory_budget.rs
@@ -1,11 +1,9 @@
 //! How the memory limit of the process is divided.
 
-use super::BodyBudget;
+use super::{BodyBudget, ConnectionLimits};
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
-/// File descriptors reserved for the listener, discovery, signals, standard streams and the runtime.
-const RESERVED_DESCRIPTORS: usize = 32;
 const BYTES_PER_MEGABYTE: f64 = 1e6;
 /// The program without connections: code, balancer, settings, endpoint list and the list that replaces it.
 const PROGRAM_BYTES: f64 = 6e6;
@@ -16,24 +14,6 @@
 /// Bodies have at least this fraction of the memory limit.
 const MIN_BODY_FRACTION: f64 = 1.0 / 4.0;
 
-/// Maximum numbers of open client and backend connections.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionLimits {
-    /// Client connections.
-    pub clients: usize,
-    /// Backend connections.
-    pub backends: usize,
-}
-
-impl ConnectionLimits {
-    /// Splits the descriptors that are not reserved equally between clients and backends.
-    pub fn of(descriptors: usize) -> ConnectionLimits {
-        let available = descriptors - RESERVED_DESCRIPTORS;
-        let clients = available / 2;
-        ConnectionLimits { clients, backends: available - clients }
-    }
-}
-
 /// Budgets that all connections share.
 pub struct MemoryBudget {
     /// Bodies of requests, until their last attempt has ended.
@@ -47,8 +27,8 @@
 impl MemoryBudget {
     /// Divides a memory limit, in megabytes. Without a limit, the budgets are unlimited.
     ///
-    /// What remains beside the program, the buffers of all connections and reading ahead is for bodies. A process with
-    /// many descriptors and little memory has at least [`MIN_BODY_FRACTION`] for them.
+    /// What remains beside the program, the buffers of all connections and reading ahead is for bodies. A
+    /// process with many descriptors and little memory has at least [`MIN_BODY_FRACTION`] for them.
     pub fn new(limit_mb: Option<f64>, connections: ConnectionLimits) -> MemoryBudget {
         let Some(limit_mb) = limit_mb else { return MemoryBudget::of(usize::MAX, usize::MAX) };
         let limit = limit_mb * BYTES_PER_MEGABYTE;
--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -35,8 +35,8 @@
 /// Input or a close that is on its way arrives within it.
 const ARRIVAL_ALLOWANCE: Duration = Duration::from_millis(25);
 
-/// While memory is short, a request whose body gets no byte for this time is timed out. Longer than a stall of the process,
-/// in which bytes arrive and are not read.
+/// While memory is short, a request whose body gets no byte for this time is timed out. Longer than a stall
+/// of the process, in which bytes arrive and are not read.
 const BODY_STALL_TIME: Duration = Duration::from_millis(200);
 
 /// How a connection that is asked to close is closed.
@@ -147,8 +147,8 @@
         self.body_memory_since.set(None);
     }
 
-    /// Returns since when no byte has arrived of a body for which memory is reserved; `None` if there is no such body,
-    /// it has not stalled, or it was timed out.
+    /// Returns since when no byte has arrived of a body for which memory is reserved; `None` if there is no
+    /// such body, it has not stalled, or it was timed out.
     pub fn body_stalled_since(&self) -> Option<Time> {
         let since = self.body_memory_since.get()?.max(self.read_times.last_byte_at()?);
         let is_stalled = self.clock.now() - since >= micros(BODY_STALL_TIME);
@@ -186,8 +186,8 @@
         earliest.max(self.opened_at + micros(REQUEST_TIMEOUT))
     }
 
-    /// Returns how long the current request may have waited until its first byte was read, in the listen queue
-    /// or after the accept.
+    /// Returns how long the current request may have waited until its first byte was read, in the listen
+    /// queue or after the accept.
     pub fn accept_delay(&self) -> Micros {
         if self.has_answered.get() || self.read_times.was_empty_at_first_read() {
             return Micros(0);
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -22,8 +22,8 @@
 
 /// Number of steps after which [`ClientSocket::is_disconnected`] leaves the rest to the next poll.
 const MAX_IMMEDIATE_READS: usize = 32;
-/// While there is no memory for reading ahead, the end of the stream is checked for in this interval. No attempt may
-/// begin later than 0.1 s after its client has left.
+/// While there is no memory for reading ahead, the end of the stream is checked for in this interval. No
+/// attempt may begin later than 0.1 s after its client has left.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// How long to wait for the end of a client's stream after the last response. A client closes the connection
 /// once it has read that response; a peer that does not close it occupies a descriptor for this long.
@@ -55,8 +55,9 @@
 }
 
 impl Socket {
-    /// Ready once the client has closed the connection, at least for sending, or reset it, although the bytes before
-    /// the end are not read. Also ready, with `false`, when the connection may try to read ahead again.
+    /// Ready once the client has closed the connection, at least for sending, or reset it, although the bytes
+    /// before the end are not read. Also ready, with `false`, when the connection may try to read ahead
+    /// again.
     fn poll_end_without_reading(&mut self, cx: &mut Context) -> Poll<bool> {
         if is_read_closed(self.io.inner()) {
             return Poll::Ready(true);
@@ -69,8 +70,8 @@
     }
 }
 
-/// Returns whether the runtime was notified that the peer has closed the connection, at least for sending, or reset
-/// it.
+/// Returns whether the runtime was notified that the peer has closed the connection, at least for sending, or
+/// reset it.
 fn is_read_closed(stream: &TcpStream) -> bool {
     let readiness = pin!(stream.ready(Interest::READABLE));
     let readiness = readiness.poll(&mut Context::from_waker(Waker::noop()));
@@ -101,8 +102,8 @@
     }
 
     /// Ends the connection after its last response: shuts down the sending side and reads up to the end of
-    /// the client's stream, without keeping what it reads. Closing a socket with unread bytes resets the connection, and the client may lose
-    /// the response. Does nothing if no response was written.
+    /// the client's stream, without keeping what it reads. Closing a socket with unread bytes resets the
+    /// connection, and the client may lose the response. Does nothing if no response was written.
     pub async fn lingering_close(&self, last_response: LastResponse) {
         if !self.0.borrow().has_written {
             return;
@@ -120,8 +121,8 @@
         let _ = tokio::time::timeout(timeout, end).await;
     }
 
-    /// Reads ahead what has arrived, without waiting for the runtime to be notified of it. Returns whether the
-    /// client has closed the connection, at least for sending, or reset it.
+    /// Reads ahead what has arrived, without waiting for the runtime to be notified of it. Returns whether
+    /// the client has closed the connection, at least for sending, or reset it.
     pub fn is_disconnected(&self) -> bool {
         let socket = &mut *self.0.borrow_mut();
         for _ in 0..MAX_IMMEDIATE_READS {
--- a/src/bin/load-balancer-proxy/server/mod.rs
+++ b/src/bin/load-balancer-proxy/server/mod.rs
@@ -5,7 +5,8 @@
 //! | --- | --- |
 //! | accepting, and limits on open connections | `listener`, `capacity`, `inactivity` |
 //! | one connection | `connection_task`, `client_connection`, `client_socket`, `read_ahead`, `read_times` |
-//! | one request | `request_handler`, `request_parsing`, `request_body`, `request_error`, `disconnect_guard`, `responses` |
+//! | one request | `request_handler`, `request_parsing`, `request_body`, `request_error`, `responses` |
+//! | a client that leaves | `disconnect_guard` |
 //! | readiness probe | `readiness` |
 //! | graceful shutdown | `graceful_shutdown` |
 
--- a/src/bin/load-balancer-proxy/server/read_ahead.rs
+++ b/src/bin/load-balancer-proxy/server/read_ahead.rs
@@ -17,7 +17,8 @@
     Bytes(usize),
     /// The connections have no memory left for reading ahead; the bytes have to wait in the kernel.
     OutOfMemory,
-    /// The connection has read the maximum. Further bytes are read to detect the end of the stream, and dropped.
+    /// The connection has read the maximum. Further bytes are read to detect the end of the stream, and
+    /// dropped.
     Dropping,
 }
 
--- a/src/bin/load-balancer-proxy/server/request_body.rs
+++ b/src/bin/load-balancer-proxy/server/request_body.rs
@@ -43,8 +43,8 @@
         read
     }
 
-    /// Waits for the memory of a body. Meanwhile, times out bodies that have stalled, so that clients that stop in
-    /// their requests do not hold all memory.
+    /// Waits for the memory of a body. Meanwhile, times out bodies that have stalled, so that clients that
+    /// stop in their requests do not hold all memory.
     async fn reserve_body(&self, body: &Incoming) -> BodyReservation {
         let mut reserve = pin!(self.memory.request_bodies.reserve(body));
         loop {
--- a/src/bin/load-balancer-proxy/upstream/connection.rs
+++ b/src/bin/load-balancer-proxy/upstream/connection.rs
@@ -17,11 +17,12 @@
 use std::task::Poll;
 use tokio::net::TcpStream;
 
-/// Length by which the head that is sent to a backend may exceed that of the client's request: hyper writes a space
-/// behind each colon and states the length of the body.
+/// Length by which the head that is sent to a backend may exceed that of the client's request: hyper writes a
+/// space behind each colon and states the length of the body.
 const HEAD_GROWTH_BYTES: usize = 1 << 10;
-/// Size of the buffers of a connection, in bytes. hyper flushes a head that fills its buffer before it writes the body,
-/// which would count as the end of the request ([`WriteProgress::Complete`]); the longest head does not.
+/// Size of the buffers of a connection, in bytes. hyper flushes a head that fills its buffer before it writes
+/// the body, which would count as the end of the request ([`WriteProgress::Complete`]); the longest head does
+/// not.
 const BUFFER_BYTES: usize = MAX_HEAD_BYTES + HEAD_GROWTH_BYTES;
 
 /// An HTTP/1 connection. It has no task of its own but is polled by the attempt that uses it, so that
@@ -36,8 +37,8 @@
 }
 
 impl Connection {
-    /// Performs hyper's HTTP/1 handshake on a connected socket. The head of a response and its trailers are limited
-    /// to [`MAX_HEAD_BYTES`].
+    /// Performs hyper's HTTP/1 handshake on a connected socket. The head of a response and its trailers are
+    /// limited to [`MAX_HEAD_BYTES`].
     pub async fn open(stream: TcpStream, slot: SocketSlot) -> hyper::Result<Connection> {
         let write_progress = Rc::new(Cell::new(WriteProgress::default()));
         let socket = UpstreamSocket::new(stream, write_progress.clone());
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -1,8 +1,8 @@
 //! Reads the body of an HTTP message into one buffer.
 //!
-//! hyper delivers a body in frames, one for each read of the socket or chunk of the message, and each frame keeps
-//! alive the read buffer in which it arrived. A body that comes in pieces of a few bytes would therefore take a
-//! read buffer for each piece. The bytes are copied out of each frame instead.
+//! hyper delivers a body in frames, one for each read of the socket or chunk of the message, and each frame
+//! keeps alive the read buffer in which it arrived. A body that comes in pieces of a few bytes would
+//! therefore take a read buffer for each piece. The bytes are copied out of each frame instead.
 
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -22,8 +22,8 @@
     Connection(#[from] hyper::Error),
 }
 
-/// Reads a body of at most `max_bytes` bytes; trailers are dropped. No frame is kept, and the buffer never has a
-/// capacity of more than `max_bytes`.
+/// Reads a body of at most `max_bytes` bytes; trailers are dropped. No frame is kept, and the buffer never
+/// has a capacity of more than `max_bytes`.
 ///
 /// # Errors
 ///
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -1,5 +1,5 @@
-//! Memory under peers that send long messages, in small pieces, in part or all at once, with the smallest limits
-//! that the platform gives to a proxy.
+//! Memory under peers that send long messages, in small pieces, in part or all at once, with the smallest
+//! limits that the platform gives to a proxy.
 
 use crate::support::{
     config, endpoint, ok_response, ready_endpoints, refusing_address, request, send_request, Backend, Client,
@@ -221,7 +221,8 @@
     assert_memory_is_within_limit(&proxy);
 }
 
-/// Returns a response with a long head and a body of the greatest length, of which this many bytes are missing.
+/// Returns a response with a long head and a body of the greatest length, of which this many bytes are
+/// missing.
 fn long_response(missing_bytes: usize) -> String {
     let body = "x".repeat(MAX_BODY_BYTES - missing_bytes);
     format!("HTTP/1.1 200 OK\r\n{}Content-Length: {MAX_BODY_BYTES}\r\n\r\n{body}", long_fields())
@@ -232,8 +233,8 @@
     long_request().replace("Host:", &format!("{}Host:", long_fields()))
 }
 
-/// Guards against limits for each connection whose sum exceeds the memory limit: every connection holds the longest
-/// request, the longest incomplete response, and what its client has sent behind the request.
+/// Guards against limits for each connection whose sum exceeds the memory limit: every connection holds the
+/// longest request, the longest incomplete response, and what its client has sent behind the request.
 #[test]
 fn the_longest_messages_on_all_connections_stay_within_the_memory_limit() {
     let response = long_response(1);
@@ -249,8 +250,8 @@
     assert_memory_is_within_limit(&proxy);
 }
 
-/// Guards against limits that refuse the clients that the platform allows: a third of the descriptors, with the
-/// longest requests and responses, while other clients stop in their requests.
+/// Guards against limits that refuse the clients that the platform allows: a third of the descriptors, with
+/// the longest requests and responses, while other clients stop in their requests.
 #[test]
 fn as_many_long_requests_as_the_terms_allow_are_served_beside_stalled_clients() {
     let response = long_response(0);
@@ -265,8 +266,8 @@
     assert_memory_is_within_limit(&proxy);
 }
 
-/// Guards against bodies whose sum is limited only by the number of connections: with many descriptors and little
-/// memory, they wait for each other and are all served.
+/// Guards against bodies whose sum is limited only by the number of connections: with many descriptors and
+/// little memory, they wait for each other and are all served.
 #[test]
 fn long_requests_wait_for_memory_and_are_served() {
     let response = long_response(0);
--- a/tests/proxy/read_ahead.rs
+++ b/tests/proxy/read_ahead.rs
@@ -27,7 +27,8 @@
     (0..REQUESTS_AT_ONCE).map(|_| client.read_response().map(|response| response.status())).collect()
 }
 
-/// Guards against requests that are read and dropped because other connections use the memory for reading ahead.
+/// Guards against requests that are read and dropped because other connections use the memory for reading
+/// ahead.
 #[test]
 fn requests_sent_at_once_are_answered_while_memory_is_short() {
     let respond = |_: &_| {
--- a/tests/proxy/soak.rs
+++ b/tests/proxy/soak.rs
@@ -60,8 +60,8 @@
     RunConfig { config, longest_deadline_ms }
 }
 
-/// Sends requests from all clients while faults are injected, then shuts the proxy down. Returns its peak memory before
-/// that, in KiB.
+/// Sends requests from all clients while faults are injected, then shuts the proxy down. Returns its peak
+/// memory before that, in KiB.
 fn send_requests_under_faults(run: &Run, random: &mut Pcg32, seed: u64) -> u64 {
     let (stop, next_request_id) = (AtomicBool::new(false), AtomicU64::new(seed << 32));
     let (stop, next_request_id) = (&stop, &next_request_id);
--- a/tests/proxy/soak/faults.rs
+++ b/tests/proxy/soak/faults.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Opens a connection that stays without a complete request: silent, in a head, in a head that is too long, or in
-    /// a long body.
+    /// Opens a connection that stays without a complete request: silent, in a head, in a head that is too
+    /// long, or in a long body.
     fn open_stalled_client(&self, number: u64) -> Option<Client> {
         let mut client = Client::try_open(self.proxy.address).ok()?;
         match number % 4 {
--- a/tests/proxy/support/http.rs
+++ b/tests/proxy/support/http.rs
@@ -69,8 +69,8 @@
     SendAndClose(String),
     /// Writes the text and resets the connection.
     SendAndReset(String),
-    /// Writes the text in pieces of this many bytes, with a short pause between them, and keeps the connection
-    /// open.
+    /// Writes the text in pieces of this many bytes, with a short pause between them, and keeps the
+    /// connection open.
     SendInPieces(String, usize),
     /// Writes nothing and keeps the connection open.
     NoResponse,
@@ -111,8 +111,8 @@
 /// Pause between two pieces of a message.
 const PIECE_PAUSE: Duration = Duration::from_micros(400);
 
-/// Writes a text in pieces of this many bytes, each in a segment of its own. Stops at an error, because the proxy
-/// may have closed the connection.
+/// Writes a text in pieces of this many bytes, each in a segment of its own. Stops at an error, because the
+/// proxy may have closed the connection.
 pub fn write_in_pieces(stream: &mut TcpStream, text: &str, piece_bytes: usize) {
     let _ = stream.set_nodelay(true);
     for piece in text.as_bytes().chunks(piece_bytes) {
