Tests: messages in small pieces take their time also on a loaded machine

A pause between two pieces makes 4,096 pieces take longer than the 2.75 s in which a request must be complete where each sleep is late. Each piece now has its own due time, and late ones follow at once.

--- a/tests/proxy/support/http.rs
+++ b/tests/proxy/support/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An HTTP request or response.
 #[derive(Clone, Debug, Default)]
@@ -108,18 +108,21 @@
     }
 }
 
-/// Pause between two pieces of a message.
-const PIECE_PAUSE: Duration = Duration::from_micros(400);
+/// Time from the start of one piece of a message to that of the next.
+const PIECE_INTERVAL: Duration = Duration::from_micros(400);
 
-/// Writes a text in pieces of this many bytes, each in a segment of its own. Stops at an error, because the
-/// proxy may have closed the connection.
+/// Writes a text in pieces of this many bytes, each in a segment of its own. The whole takes its time even on a
+/// loaded machine: pieces that are late follow at once. Stops at an error, because the proxy may have closed
+/// the connection.
 pub fn write_in_pieces(stream: &mut TcpStream, text: &str, piece_bytes: usize) {
     let _ = stream.set_nodelay(true);
+    let mut due = Instant::now();
     for piece in text.as_bytes().chunks(piece_bytes) {
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        due += PIECE_INTERVAL;
         if stream.write_all(piece).is_err() {
             return;
         }
-        std::thread::sleep(PIECE_PAUSE);
     }
 }
 
