Simplify reading ahead and the memory of bodies after a second reading

- A closing connection tells its read-ahead buffer to drop what follows, as it does beyond its maximum; the second read loop is gone.
What was read ahead is freed then, not only when the connection is closed.
- The buffer says itself how many bytes may be read at once, in place of an enum and a function that maps it.
- Whether a body is still being read is known from the state of its request, so that its end is not recorded apart.
- The stated length of a body is read once in the reservation.

The bytes, statuses and times that a peer sees stay as they are.

--- a/src/bin/load-balancer-proxy/memory/body_budget.rs
+++ b/src/bin/load-balancer-proxy/memory/body_budget.rs
@@ -72,10 +72,9 @@
 /// Returns how much memory to reserve for a body: its stated length, or the maximum if it has none. Nothing
 /// for a body that is too long, because it is not read.
 fn reserved_bytes(body: &Incoming) -> usize {
-    let stated_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     match body.size_hint().exact() {
-        _ if stated_bytes > MAX_BODY_BYTES => 0,
-        Some(_) => stated_bytes,
+        Some(stated_bytes) if stated_bytes > MAX_BODY_BYTES as u64 => 0,
+        Some(stated_bytes) => stated_bytes as usize,
         None => MAX_BODY_BYTES,
     }
 }
--- a/src/bin/load-balancer-proxy/server/client_connection.rs
+++ b/src/bin/load-balancer-proxy/server/client_connection.rs
@@ -73,7 +73,7 @@
     is_handling_request: Cell<bool>,
     /// Whether a request was read completely and awaits its response.
     is_awaiting_response: Cell<bool>,
-    /// Since when memory is reserved for the body of a request that is being read; `None` if there is none.
+    /// Since when memory is reserved for the body of the request that is handled; `None` if none is.
     body_memory_since: Cell<Option<Time>>,
     /// Whether the client may have left while the request that awaits its response waited to be read.
     is_disconnect_unchecked: Cell<bool>,
@@ -141,18 +141,13 @@
         self.body_memory_since.set(Some(self.clock.now()));
     }
 
-    /// Records that the body was read, or could not be.
-    pub fn end_body(&self) {
-        self.body_memory_since.set(None);
-    }
-
     /// Returns since when no byte has arrived of a body for which memory is reserved; `None` if there is no
-    /// such body, it has not stalled, or it was timed out. Bytes may have arrived unseen for `unobserved_time`.
+    /// such body, it is complete, it has not stalled, or it was timed out. Bytes may have arrived unseen for `unobserved_time`.
     pub fn body_stalled_since(&self, unobserved_time: Micros) -> Option<Time> {
         let since = self.body_memory_since.get()?.max(self.read_times.last_byte_at()?);
         let is_stalled = since + micros(BODY_STALL_TIME) + unobserved_time <= self.clock.now();
         let is_timed_out = self.close_mode.get() == Some(CloseMode::TimeOutRequest);
-        (is_stalled && !is_timed_out).then_some(since)
+        (self.is_receiving_request() && is_stalled && !is_timed_out).then_some(since)
     }
 
     /// Sets whether the client may have left while the request that awaits its response waited to be read.
@@ -168,7 +163,7 @@
     /// Records that the response is ready to be written. The connection counts as idle from now on.
     pub fn end_request(&self) {
         self.is_handling_request.set(false);
-        self.end_body();
+        self.body_memory_since.set(None);
         self.has_answered.set(true);
         self.read_times.begin_message();
         self.last_response_at.set(Some(self.clock.now()));
--- a/src/bin/load-balancer-proxy/server/client_socket.rs
+++ b/src/bin/load-balancer-proxy/server/client_socket.rs
@@ -4,7 +4,7 @@
 //! hyper does not always detect this itself: if it receives a byte of the next request while a request awaits
 //! its response, it stops reading. It then does not see the end of the stream.
 
-use super::read_ahead::{ReadAhead, Room, STEP_BYTES};
+use super::read_ahead::{ReadAhead, STEP_BYTES};
 use super::read_times::ReadTimes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -108,6 +108,7 @@
         if !self.0.borrow().has_written {
             return;
         }
+        self.0.borrow_mut().read_ahead.discard();
         let timeout = match last_response {
             LastResponse::Regular => LINGERING_CLOSE_TIMEOUT,
             LastResponse::Timeout => STALLED_PEER_CLOSE_TIMEOUT,
@@ -115,7 +116,7 @@
         let end = async {
             let shutdown = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().io).poll_shutdown(cx)).await;
             if shutdown.is_ok() {
-                poll_fn(|cx| self.poll_discard(cx)).await;
+                poll_fn(|cx| self.poll_disconnected(cx)).await;
             }
         };
         let _ = tokio::time::timeout(timeout, end).await;
@@ -127,7 +128,7 @@
         let socket = &mut *self.0.borrow_mut();
         for _ in 0..MAX_IMMEDIATE_READS {
             let mut buffer = [0; STEP_BYTES];
-            let Some(length) = readable_length(&mut socket.read_ahead) else {
+            let Some(length) = socket.read_ahead.readable_length() else {
                 return is_read_closed(socket.io.inner());
             };
             let read = (&*SockRef::from(socket.io.inner())).read(&mut buffer[..length]);
@@ -148,7 +149,7 @@
         let socket = &mut *self.0.borrow_mut();
         loop {
             let mut buffer = [0; STEP_BYTES];
-            let Some(length) = readable_length(&mut socket.read_ahead) else {
+            let Some(length) = socket.read_ahead.readable_length() else {
                 if ready!(socket.poll_end_without_reading(cx)) {
                     return Poll::Ready(());
                 }
@@ -162,28 +163,6 @@
             socket.read_ahead.push(read.filled());
         }
     }
-
-    /// Reads and discards. Ready once the client has reset the connection or closed it, at least for sending.
-    fn poll_discard(&self, cx: &mut Context) -> Poll<()> {
-        let socket = &mut *self.0.borrow_mut();
-        loop {
-            let mut buffer = [0; STEP_BYTES];
-            let mut read = ReadBuf::new(&mut buffer);
-            let result = ready!(Pin::new(socket.io.inner_mut()).poll_read(cx, &mut read));
-            if result.is_err() || read.filled().is_empty() {
-                return Poll::Ready(());
-            }
-        }
-    }
-}
-
-/// Returns how many bytes may be read at once; `None` if there is no memory for reading ahead.
-fn readable_length(read_ahead: &mut ReadAhead) -> Option<usize> {
-    match read_ahead.room() {
-        Room::Bytes(count) => Some(count.min(STEP_BYTES)),
-        Room::Dropping => Some(STEP_BYTES),
-        Room::OutOfMemory => None,
-    }
 }
 
 impl Read for ClientSocket {
--- a/src/bin/load-balancer-proxy/server/read_ahead.rs
+++ b/src/bin/load-balancer-proxy/server/read_ahead.rs
@@ -10,18 +10,6 @@
 /// Maximum number of bytes of a connection that are read ahead, more than a valid request has.
 const MAX_BYTES: usize = 128 << 10;
 
-/// How a connection may read ahead.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Room {
-    /// This many bytes may be read now.
-    Bytes(usize),
-    /// The connections have no memory left for reading ahead; the bytes have to wait in the kernel.
-    OutOfMemory,
-    /// The connection has read the maximum. Further bytes are read to detect the end of the stream, and
-    /// dropped.
-    Dropping,
-}
-
 /// Buffer of one connection. Beyond [`STEP_BYTES`], its memory is reserved from a budget that all connections
 /// share.
 pub(super) struct ReadAhead {
@@ -47,23 +35,21 @@
         self.is_truncated
     }
 
-    /// Returns how many bytes may be read ahead now. Reserves more memory if the buffer is full.
-    pub fn room(&mut self) -> Room {
-        if self.is_truncated || self.bytes.len() >= MAX_BYTES {
-            return Room::Dropping;
+    /// Returns how many bytes may be read at once, at most [`STEP_BYTES`]. Reserves more memory if the buffer
+    /// is full; `None` if the connections have none left, so that the bytes have to wait in the kernel.
+    pub fn readable_length(&mut self) -> Option<usize> {
+        if self.is_dropping() {
+            return Some(STEP_BYTES);
         }
         if self.bytes.len() == self.reserved_bytes() && !self.reserve_step() {
-            return Room::OutOfMemory;
+            return None;
         }
-        Room::Bytes(self.reserved_bytes() - self.bytes.len())
+        Some(STEP_BYTES.min(self.reserved_bytes() - self.bytes.len()))
     }
 
-    /// Adds bytes that were read as [`room`](ReadAhead::room) allowed.
+    /// Adds bytes that were read, no more than [`readable_length`](ReadAhead::readable_length) allowed.
     pub fn push(&mut self, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        if self.room() == Room::Dropping {
+        if self.is_dropping() {
             self.is_truncated = true;
             return;
         }
@@ -73,6 +59,12 @@
         self.bytes.extend(bytes);
     }
 
+    /// Drops what was read ahead, and whatever follows.
+    pub fn discard(&mut self) {
+        self.is_truncated = true;
+        self.free();
+    }
+
     /// Passes bytes on to hyper. Frees the memory once the buffer is empty.
     pub fn take_into(&mut self, mut target: ReadBufCursor) {
         let (first, _) = self.bytes.as_slices();
@@ -80,11 +72,20 @@
         target.put_slice(&first[..length]);
         self.bytes.drain(..length);
         if self.bytes.is_empty() {
-            self.bytes = VecDeque::new();
-            self.reservation = None;
+            self.free();
         }
     }
 
+    /// Whether further bytes are read only to detect the end of the stream, and dropped.
+    fn is_dropping(&self) -> bool {
+        self.is_truncated || self.bytes.len() >= MAX_BYTES
+    }
+
+    fn free(&mut self) {
+        self.bytes = VecDeque::new();
+        self.reservation = None;
+    }
+
     fn reserved_bytes(&self) -> usize {
         STEP_BYTES + self.reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
     }
--- a/src/bin/load-balancer-proxy/server/request_body.rs
+++ b/src/bin/load-balancer-proxy/server/request_body.rs
@@ -38,9 +38,7 @@
     ) -> Result<Bytes, BodyError> {
         let reservation = self.reserve_body(&body).await;
         client.begin_body();
-        let read = reservation.read(body).await;
-        client.end_body();
-        read
+        reservation.read(body).await
     }
 
     /// Waits for the memory of a body. Meanwhile, times out bodies that have stalled, so that clients that
