--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -2,7 +2,7 @@
 //! limits that the platform gives to a proxy.
 
 use crate::support::{
-    config, endpoint, ok_response, ready_endpoints, refusing_address, request, send_request, Backend, Client,
+    endpoint, ok_response, refusing_address, request, send_request, start_proxy_with_limits, Backend, Client,
     Discovery, Message, ProxyProcess, Reply,
 };
 use serde_json::json;
@@ -25,15 +25,7 @@
 
 /// Starts a proxy with the smallest limits, and its discovery service.
 fn start_proxy(backends: &[Backend]) -> (ProxyProcess, Discovery) {
-    start_proxy_with_descriptors(backends, DESCRIPTOR_LIMIT)
-}
-
-/// Starts a proxy with the smallest memory limit and this many descriptors.
-fn start_proxy_with_descriptors(backends: &[Backend], descriptors: usize) -> (ProxyProcess, Discovery) {
-    let discovery = Discovery::start();
-    let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
-    config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": descriptors});
-    (ProxyProcess::start(&config), discovery)
+    start_proxy_with_limits(backends, MEMORY_LIMIT_MB, DESCRIPTOR_LIMIT)
 }
 
 fn assert_memory_is_within_limit(proxy: &ProxyProcess) {
@@ -74,6 +66,21 @@
     clients.iter_mut().map(Client::read_response).collect()
 }
 
+/// Opens connections on which all of the longest request but its last byte is sent.
+fn open_stalled_clients(proxy: &ProxyProcess, count: usize) -> Vec<Client> {
+    let text = long_request();
+    let mut clients: Vec<_> = (0..count).map(|_| Client::open(proxy.address)).collect();
+    clients.iter_mut().for_each(|client| client.send(&text[..text.len() - 1]));
+    clients
+}
+
+/// Expects that each of the clients gets an error because its request is incomplete.
+fn assert_timed_out(clients: &mut [Client]) {
+    for client in clients {
+        assert_eq!(client.read_response().map(|response| response.status()), Some(408));
+    }
+}
+
 /// Sends requests one after the other, each on a new connection, and expects that they are served.
 fn assert_requests_are_served(proxy: &ProxyProcess, count: usize) {
     for _ in 0..count {
@@ -256,10 +263,8 @@
 fn as_many_long_requests_as_the_terms_allow_are_served_beside_stalled_clients() {
     let response = long_response(0);
     let (proxy, _discovery) = start_proxy(&start_backends(DESCRIPTOR_LIMIT / 6, &response, response.len()));
-    let request = long_request();
-    let mut stalled: Vec<_> = (0..16).map(|_| Client::open(proxy.address)).collect();
-    stalled.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
-    for response in send_concurrently(&proxy, &request, DESCRIPTOR_LIMIT / 3) {
+    let _stalled = open_stalled_clients(&proxy, 16);
+    for response in send_concurrently(&proxy, &long_request(), DESCRIPTOR_LIMIT / 3) {
         let response = response.expect("a complete response");
         assert_eq!((response.status(), response.body.len()), (200, MAX_BODY_BYTES));
     }
@@ -273,7 +278,7 @@
     let response = long_response(0);
     let descriptors = 640;
     let backends = start_backends(descriptors / 12, &response, response.len());
-    let (proxy, _discovery) = start_proxy_with_descriptors(&backends, descriptors);
+    let (proxy, _discovery) = start_proxy_with_limits(&backends, MEMORY_LIMIT_MB, descriptors);
     let address = proxy.address;
     let send = |_| {
         std::thread::spawn(move || {
@@ -294,14 +299,10 @@
 fn stalled_requests_without_memory_get_an_error_in_time() {
     let descriptors = 1024;
     let backend = Backend::start(|_| ok_response("x"));
-    let (proxy, _discovery) = start_proxy_with_descriptors(&[backend], descriptors);
-    let request = long_request();
-    let mut peers: Vec<_> = (0..descriptors / 3).map(|_| Client::open(proxy.address)).collect();
+    let (proxy, _discovery) = start_proxy_with_limits(&[backend], MEMORY_LIMIT_MB, descriptors);
     let began = Instant::now();
-    peers.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
-    for peer in &mut peers {
-        assert_eq!(peer.read_response().map(|response| response.status()), Some(408));
-    }
+    let mut peers = open_stalled_clients(&proxy, descriptors / 3);
+    assert_timed_out(&mut peers);
     assert!(began.elapsed() < BAD_PEER_LIMIT, "the last peer was closed after {:?}", began.elapsed());
     assert_requests_are_served(&proxy, 20);
     assert_memory_is_within_limit(&proxy);
@@ -312,15 +313,11 @@
 fn a_long_request_is_served_while_stalled_requests_hold_the_memory() {
     let descriptors = 1024;
     let backend = Backend::start(|_| ok_response("x"));
-    let (proxy, _discovery) = start_proxy_with_descriptors(&[backend], descriptors);
-    let request = long_request();
-    let mut peers: Vec<_> = (0..descriptors / 4).map(|_| Client::open(proxy.address)).collect();
-    peers.iter_mut().for_each(|peer| peer.send(&request[..request.len() - 1]));
+    let (proxy, _discovery) = start_proxy_with_limits(&[backend], MEMORY_LIMIT_MB, descriptors);
+    let mut peers = open_stalled_clients(&proxy, descriptors / 4);
     let began = Instant::now();
-    assert_eq!(send_request(&proxy, &request).status(), 200);
+    assert_eq!(send_request(&proxy, &long_request()).status(), 200);
     // The stalled requests have their time of nearly 3 s otherwise.
     assert!(began.elapsed() < Duration::from_secs(2), "served after {:?}", began.elapsed());
-    for peer in &mut peers {
-        assert_eq!(peer.read_response().map(|response| response.status()), Some(408));
-    }
+    assert_timed_out(&mut peers);
 }
--- a/tests/proxy/read_ahead.rs
+++ b/tests/proxy/read_ahead.rs
@@ -1,19 +1,12 @@
 //! Requests that clients send at once, while the connections share little memory for reading ahead.
 
-use crate::support::{
-    config, ok_response, ready_endpoints, request, wait_until, Backend, Client, Discovery, ProxyProcess,
-    Reply,
-};
-use serde_json::json;
+use crate::support::{ok_response, request, start_proxy_with_limits, wait_until, Backend, Client, Reply};
 use std::time::{Duration, Instant};
 
-/// Starts a proxy with the smallest limits that the platform gives, and its discovery service.
-fn start_proxy(backends: &[Backend]) -> (ProxyProcess, Discovery) {
-    let discovery = Discovery::start();
-    let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
-    config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
-    (ProxyProcess::start(&config), discovery)
-}
+/// Memory limit of the proxy, the smallest that the platform gives.
+const MEMORY_LIMIT_MB: u64 = 32;
+/// Descriptor limit of the proxy.
+const DESCRIPTOR_LIMIT: usize = 256;
 
 /// Number of requests that a client sends at once.
 const REQUESTS_AT_ONCE: usize = 4;
@@ -36,7 +29,7 @@
         ok_response("x")
     };
     let backends: Vec<_> = (0..22).map(|_| Backend::start(respond)).collect();
-    let (proxy, _discovery) = start_proxy(&backends);
+    let (proxy, _discovery) = start_proxy_with_limits(&backends, MEMORY_LIMIT_MB, DESCRIPTOR_LIMIT);
     let address = proxy.address;
     let send = |_| std::thread::spawn(move || send_at_once(Client::open(address)));
     let clients: Vec<_> = (0..85).map(send).collect();
@@ -49,7 +42,7 @@
 #[test]
 fn a_disconnect_is_detected_while_memory_is_short() {
     let backends: Vec<_> = (0..22).map(|_| Backend::start(|_| Reply::NoResponse)).collect();
-    let (proxy, _discovery) = start_proxy(&backends);
+    let (proxy, _discovery) = start_proxy_with_limits(&backends, MEMORY_LIMIT_MB, DESCRIPTOR_LIMIT);
     let open_with_extra = |extra_bytes: usize| {
         let mut client = Client::open(proxy.address);
         client.send(&(request("pay", 60_000) + &"x".repeat(extra_bytes)));
--- a/tests/proxy/support/mod.rs
+++ b/tests/proxy/support/mod.rs
@@ -19,7 +19,7 @@
 pub use discovery::Discovery;
 pub use faults::Faults;
 pub use http::{ok_response, read_message, request, write_in_pieces, Message, Reply, PAY_WITH_PARTIAL_BODY};
-pub use proxy_process::{start_proxy_for, ProxyProcess};
+pub use proxy_process::{start_proxy_for, start_proxy_with_limits, ProxyProcess};
 pub use reserved_port::{refusing_address, ReservedPort};
 pub use settings::{
     config, config_with_long_connect_timeout, endpoint, ready_endpoints, settings, with_value,
--- a/tests/proxy/support/proxy_process.rs
+++ b/tests/proxy/support/proxy_process.rs
@@ -1,7 +1,9 @@
 //! The proxy binary as a child process.
 
-use super::{config, endpoint, refusing_address, wait_until, Backend, Client, Discovery, Faults};
-use serde_json::Value;
+use super::{
+    config, endpoint, ready_endpoints, refusing_address, wait_until, Backend, Client, Discovery, Faults,
+};
+use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -205,3 +207,14 @@
     let endpoints: Vec<Value> = backends.iter().map(endpoint_of).collect();
     (ProxyProcess::start(&config(discovery.address, &endpoints)), discovery)
 }
+
+/// Starts a proxy with these limits whose cached list contains the backends; returns it with its discovery
+/// service.
+pub fn start_proxy_with_limits(
+    backends: &[Backend], memory_mb: u64, descriptors: usize,
+) -> (ProxyProcess, Discovery) {
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &ready_endpoints(backends.iter()));
+    config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors});
+    (ProxyProcess::start(&config), discovery)
+}
